--- /dev/null
+++ b/tanagerlane-model/src/main/kotlin/tanagerlane/model/Payload.kt
@@ -0,0 +1,52 @@
+package tanagerlane.model
+
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.builtins.ByteArraySerializer
+import kotlinx.serialization.descriptors.SerialDescriptor
+import kotlinx.serialization.encoding.Decoder
+import kotlinx.serialization.encoding.Encoder
+
+/** An immutable run of bytes, compared by content. */
+@Serializable(with = PayloadSerializer::class)
+public class Payload private constructor(
+    private val bytes: ByteArray,
+) {
+    /** Length in bytes. */
+    public val size: Int get() = bytes.size
+
+    /** Returns a copy of the bytes. */
+    public fun toByteArray(): ByteArray = bytes.copyOf()
+
+    /** Returns the bytes decoded as UTF-8; malformed input is replaced. */
+    public fun toText(): String = bytes.decodeToString()
+
+    override fun equals(other: Any?): Boolean = other is Payload && bytes.contentEquals(other.bytes)
+
+    override fun hashCode(): Int = bytes.contentHashCode()
+
+    override fun toString(): String = "Payload(size=$size)"
+
+    public companion object {
+        /** A payload of no bytes. */
+        public val EMPTY: Payload = Payload(ByteArray(0))
+
+        /** Copies [bytes]. */
+        public fun of(bytes: ByteArray): Payload = Payload(bytes.copyOf())
+
+        /** Encodes [text] as UTF-8. */
+        public fun of(text: String): Payload = Payload(text.encodeToByteArray())
+    }
+}
+
+internal object PayloadSerializer : KSerializer<Payload> {
+    private val delegate = ByteArraySerializer()
+    override val descriptor: SerialDescriptor = delegate.descriptor
+
+    override fun serialize(
+        encoder: Encoder,
+        value: Payload,
+    ): Unit = delegate.serialize(encoder, value.toByteArray())
+
+    override fun deserialize(decoder: Decoder): Payload = Payload.of(delegate.deserialize(decoder))
+}
