--- a/tanagerlane-model/src/main/kotlin/tanagerlane/model/Payload.kt
+++ b/tanagerlane-model/src/main/kotlin/tanagerlane/model/Payload.kt
@@ -41,12 +41,12 @@
 
 internal object PayloadSerializer : KSerializer<Payload> {
     private val delegate = ByteArraySerializer()
-    override val descriptor: SerialDescriptor = delegate.descriptor
+    override val descriptor: SerialDescriptor = SerialDescriptor("tanagerlane.model.Payload", delegate.descriptor)
 
     override fun serialize(
         encoder: Encoder,
         value: Payload,
-    ): Unit = delegate.serialize(encoder, value.toByteArray())
+    ): Unit = encoder.encodeSerializableValue(delegate, value.toByteArray())
 
-    override fun deserialize(decoder: Decoder): Payload = Payload.of(delegate.deserialize(decoder))
+    override fun deserialize(decoder: Decoder): Payload = Payload.of(decoder.decodeSerializableValue(delegate))
 }
