--- /dev/null
+++ b/tanagerlane-platform/src/main/kotlin/tanagerlane/platform/DocumentFault.kt
@@ -0,0 +1,11 @@
+package tanagerlane.platform
+
+/**
+ * A stored object that could not be read.
+ *
+ * @property type name of the type that was expected
+ */
+public data class DocumentFault(
+    val type: String,
+    val cause: String,
+)
