Read settings and inventories with all faults reported at once

Cause: operators need every fault of a document in one go, each with its place, and nothing may be applied while there is one.

Ruled out: decoding with kotlinx or Jackson directly, which stops at the first fault. Jackson's TOML tree carries no lines, so only malformed TOML has a line.

--- /dev/null
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/configuration/HostSettingsCheck.kt
@@ -0,0 +1,68 @@
+package tanagerlane.configuration
+
+import tanagerlane.settings.EntrySettings
+import tanagerlane.settings.HostSettings
+import tanagerlane.settings.SidecarSettings
+import tanagerlane.settings.TraceExporter
+
+private val PORTS = 1..65535
+private val SLOTS = 1..1024
+private val IP_NUMBER = Regex("[0-9]{1,3}(\\.[0-9]{1,3}){3}|[0-9A-Fa-f:]*:[0-9A-Fa-f:.]*")
+private val HTTP_URL = Regex("https?://[^/\\s]+.*")
+
+/** Checks the ranges of an entry's settings. */
+internal fun checkEntry(
+    settings: EntrySettings,
+    faults: FaultCollector,
+) {
+    checkHost(settings.host, faults)
+    faults.inRange("callerPort", settings.callerPort, PORTS)
+    faults.inRange("slots", settings.slots, SLOTS)
+}
+
+/** Checks the ranges of a sidecar's settings. */
+internal fun checkSidecar(
+    settings: SidecarSettings,
+    faults: FaultCollector,
+) {
+    checkHost(settings.host, faults)
+    faults.validName("target", settings.target.text)
+    checkUrl("targetUrl", settings.targetUrl, faults)
+}
+
+private fun checkHost(
+    host: HostSettings,
+    faults: FaultCollector,
+) {
+    faults.validName("host.name", host.name.text)
+    faults.validName("host.failureDomain", host.failureDomain.text)
+    if (!IP_NUMBER.matches(host.address)) {
+        faults.outOfRange("host.address", "\"${host.address}\"", "an IP number")
+    }
+    faults.inRange("host.wirePort", host.wirePort, PORTS)
+    faults.inRange("host.operatorPort", host.operatorPort, PORTS)
+    checkUrl("host.objectApi", host.objectApi, faults)
+    checkTraces(host, faults)
+}
+
+private fun checkTraces(
+    host: HostSettings,
+    faults: FaultCollector,
+) {
+    val endpoint = host.traceEndpoint
+    if (endpoint != null) {
+        checkUrl("host.traceEndpoint", endpoint, faults)
+    } else if (host.traceExporter == TraceExporter.OTLP) {
+        faults.missingField("host.traceEndpoint")
+    }
+}
+
+private fun checkUrl(
+    path: String,
+    url: String,
+    faults: FaultCollector,
+) {
+    if (!HTTP_URL.matches(url)) {
+        faults.outOfRange(path, "\"$url\"", "an http or https URL")
+    }
+}
--- /dev/null
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/configuration/SettingsLocation.kt
@@ -0,0 +1,16 @@
+package tanagerlane.configuration
+
+/**
+ * A place in a settings document.
+ *
+ * @property file name of the document
+ * @property path fields and list places from the root, such as `targets[3].window`; empty for the whole document
+ * @property line number of the line from 1, or null where only the path is known
+ */
+public data class SettingsLocation(
+    val file: String,
+    val path: String,
+    val line: Int? = null,
+) {
+    override fun toString(): String = listOfNotNull(file, line?.toString(), path.ifEmpty { null }).joinToString(":")
+}
