Decide attempts on both sides of a session

A sidecar keeps every attempt that it has seen at least until the attempt's deadline, so that "never seen" heard before the deadline can be relied on; attempts that must never run are kept in a filter of fixed size that refuses too much rather than forget when it is crowded.

Ruled out: an exact map of tombstones (when it is full, neither a refusal nor a run could be answered truthfully) and an age for tombstones alone (a copy of an offer could arrive later than any age; offers are therefore taken only from a connection that proved fresh, see OfferSource).

--- /dev/null
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/attempts/AttemptShard.kt
@@ -0,0 +1,265 @@
+package tanagerlane.attempts
+
+import tanagerlane.message.Accepted
+import tanagerlane.message.AnswerHead
+import tanagerlane.message.AttemptFailed
+import tanagerlane.message.NeverSeen
+import tanagerlane.message.NotRun
+import tanagerlane.message.Offer
+import tanagerlane.message.Resolve
+import tanagerlane.message.WireMessage
+import tanagerlane.model.AttemptId
+import tanagerlane.model.Incarnation
+import tanagerlane.model.Payload
+import tanagerlane.model.RefusalReason
+import tanagerlane.model.RunState
+import tanagerlane.routing.StableHash
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/** One independently locked part of an [AttemptTable]. */
+internal class AttemptShard(
+    private val incarnation: Incarnation,
+    private val limits: AttemptLimits,
+) {
+    private val records = LinkedHashMap<AttemptId, AttemptRecord>()
+    private val tombstones = TombstoneFilter(limits.tombstoneBits, limits.tombstoneRetention)
+    private val maximumRecords = limits.maximumAttempts / limits.shards
+    private val maximumBytes = limits.maximumBytes / limits.shards
+    private var expireAt = Instant.DISTANT_PAST
+
+    @get:Synchronized
+    var bufferedBytes = 0L
+        private set
+
+    val size: Int
+        @Synchronized get() = records.size
+
+    @Synchronized
+    fun offer(
+        offer: Offer,
+        source: OfferSource,
+        now: Instant,
+    ): OfferDecision {
+        expireLocked(now)
+        val known = records[offer.attempt] ?: return decideNew(offer, source, now)
+        if (known.digest != OfferDigest.of(offer)) {
+            return OfferDecision.Conflict
+        }
+        known.attach(source.session)
+        return OfferDecision.Joined(known.messagesFrom(received = 0))
+    }
+
+    @Synchronized
+    fun start(
+        attempt: AttemptId,
+        now: Instant,
+    ): StartDecision {
+        val record = records[attempt]
+        return when {
+            record == null || record.started || record.outcome != null -> StartDecision.Skip(null)
+            now >= record.deadline -> StartDecision.Skip(record.failNotRun(RefusalReason.DEADLINE_EXCEEDED, now))
+            else -> StartDecision.Call.also { record.started = true }
+        }
+    }
+
+    fun head(
+        head: AnswerHead,
+        now: Instant,
+    ): Delivery? =
+        update(head.attempt, now) { record ->
+            record.head = head
+            record.delivery(head)
+        }
+
+    /** Applies [change] to an attempt that has not ended. */
+    @Synchronized
+    private fun update(
+        attempt: AttemptId,
+        now: Instant,
+        change: (AttemptRecord) -> Delivery?,
+    ): Delivery? {
+        expireLocked(now)
+        return running(attempt)?.let(change)
+    }
+
+    fun append(
+        attempt: AttemptId,
+        bytes: Payload,
+        now: Instant,
+    ): Delivery? =
+        update(attempt, now) { record ->
+            val fragment = record.append(bytes)
+            bufferedBytes += bytes.size
+            makeRoom(record)
+            record.delivery(fragment)
+        }
+
+    fun end(
+        attempt: AttemptId,
+        now: Instant,
+    ): Delivery? =
+        update(attempt, now) { record ->
+            record.end(record.ended(), now)
+            record.delivery(record.ended())
+        }
+
+    fun fail(
+        attempt: AttemptId,
+        runState: RunState,
+        reason: RefusalReason,
+        now: Instant,
+    ): Delivery? = update(attempt, now) { it.fail(runState, reason, now) }
+
+    @Synchronized
+    fun resolve(
+        resolve: Resolve,
+        session: SessionId,
+        now: Instant,
+    ): List<WireMessage> {
+        expireLocked(now)
+        val record = records[resolve.attempt]
+        if (record == null) {
+            tombstones.add(hash(resolve.attempt), now)
+            return listOf(NeverSeen(resolve.attempt, incarnation))
+        }
+        record.attach(session)
+        return record.messagesFrom(resolve.received)
+    }
+
+    @Synchronized
+    fun cancel(
+        attempt: AttemptId,
+        now: Instant,
+    ): CancelDecision {
+        val record = records[attempt]
+        return when {
+            record == null -> CancelDecision.NOTHING.also { tombstones.add(hash(attempt), now) }
+            record.outcome != null -> CancelDecision.NOTHING
+            record.started -> CancelDecision.STOP
+            else -> CancelDecision.NOT_STARTED.also { record.failNotRun(RefusalReason.DEADLINE_EXCEEDED, now) }
+        }
+    }
+
+    @Synchronized
+    fun detach(
+        session: SessionId,
+        now: Instant,
+    ) {
+        records.values.filter { it.listener == session }.forEach {
+            it.listener = null
+            it.orphanedAt = now
+        }
+    }
+
+    @Synchronized
+    fun expire(now: Instant): List<AttemptId> {
+        expireLocked(now)
+        return records.values
+            .filter { it.outcome == null && it.orphanedAt.isOver(limits.orphanBound, now) }
+            .map { it.attempt }
+    }
+
+    private fun decideNew(
+        offer: Offer,
+        source: OfferSource,
+        now: Instant,
+    ): OfferDecision {
+        val expected = offer.expectedIncarnation
+        if (expected != null && expected != incarnation) {
+            tombstones.add(hash(offer.attempt), now)
+            return OfferDecision.WrongIncarnation(NeverSeen(offer.attempt, incarnation))
+        }
+        val reason = refusalOf(offer, source, now) ?: return run(offer, source, now)
+        tombstones.add(hash(offer.attempt), now)
+        return OfferDecision.Refused(NotRun(offer.attempt, reason))
+    }
+
+    private fun refusalOf(
+        offer: Offer,
+        source: OfferSource,
+        now: Instant,
+    ): RefusalReason? =
+        when {
+            tombstones.contains(hash(offer.attempt), now) -> RefusalReason.OVERLOADED
+            offer.remaining <= Duration.ZERO -> RefusalReason.DEADLINE_EXCEEDED
+            now - source.freshAt > limits.freshness -> RefusalReason.NO_TARGET
+            records.size >= maximumRecords -> RefusalReason.OVERLOADED
+            else -> null
+        }
+
+    private fun run(
+        offer: Offer,
+        source: OfferSource,
+        now: Instant,
+    ): OfferDecision {
+        records[offer.attempt] =
+            AttemptRecord(
+                attempt = offer.attempt,
+                digest = OfferDigest.of(offer),
+                deadline = now + offer.remaining,
+                incarnation = incarnation,
+                listener = source.session,
+            )
+        return OfferDecision.Run(listOf(Accepted(offer.attempt, incarnation)))
+    }
+
+    private fun AttemptRecord.failNotRun(
+        reason: RefusalReason,
+        now: Instant,
+    ): Delivery? = fail(RunState.NOT_RUN, reason, now)
+
+    private fun AttemptRecord.fail(
+        runState: RunState,
+        reason: RefusalReason,
+        now: Instant,
+    ): Delivery? {
+        val failed = AttemptFailed(attempt, runState, reason)
+        end(failed, now)
+        this@AttemptShard.bufferedBytes -= dropBytes()
+        return delivery(failed)
+    }
+
+    private fun running(attempt: AttemptId): AttemptRecord? = records[attempt]?.takeIf { it.outcome == null }
+
+    /** Gives up kept answers, the oldest first, then the bytes of [newest] itself. */
+    private fun makeRoom(newest: AttemptRecord) {
+        if (bufferedBytes <= maximumBytes) {
+            return
+        }
+        val candidates = records.values.filter { it.outcome != null && it.bufferedBytes > 0 } + newest
+        for (candidate in candidates) {
+            if (bufferedBytes <= maximumBytes) {
+                return
+            }
+            bufferedBytes -= candidate.dropBytes()
+        }
+    }
+
+    private fun expireLocked(now: Instant) {
+        if (now < expireAt) {
+            return
+        }
+        expireAt = now + EXPIRY_INTERVAL
+        val expired = records.values.filter { it.isExpired(now) }
+        expired.forEach {
+            bufferedBytes -= it.dropBytes()
+            records.remove(it.attempt)
+        }
+    }
+
+    private fun AttemptRecord.isExpired(now: Instant): Boolean =
+        endedAt.isOver(limits.answerRetention, now) && now >= deadline + limits.deadlineMargin
+
+    private fun Instant?.isOver(
+        bound: Duration,
+        now: Instant,
+    ): Boolean = this != null && now - this >= bound
+
+    private fun hash(attempt: AttemptId): Long = StableHash.mix(StableHash.of(attempt.request.text) + attempt.number)
+
+    private companion object {
+        val EXPIRY_INTERVAL = 1.seconds
+    }
+}
