--- /dev/null
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/AttemptServer.kt
@@ -0,0 +1,145 @@
+package tanagerlane.sidecar
+
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import tanagerlane.attempts.AttemptTable
+import tanagerlane.attempts.CancelDecision
+import tanagerlane.attempts.Delivery
+import tanagerlane.attempts.OfferDecision
+import tanagerlane.attempts.OfferSource
+import tanagerlane.attempts.SessionId
+import tanagerlane.attempts.StartDecision
+import tanagerlane.message.AnswerHead
+import tanagerlane.message.Cancel
+import tanagerlane.message.Offer
+import tanagerlane.message.Resolve
+import tanagerlane.message.WireMessage
+import tanagerlane.model.AttemptId
+import tanagerlane.wire.WireConnection
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/**
+ * Serves the attempts that entries offer.
+ *
+ * @param run calls the target for one attempt and reports to the sink; its cancellation stops the call
+ * @param handleOther takes messages that are not about attempts
+ */
+internal class AttemptServer(
+    private val table: AttemptTable,
+    private val scope: CoroutineScope,
+    private val run: suspend (Offer, AnswerSink) -> Unit,
+    private val handleOther: suspend (WireConnection, WireMessage) -> Unit,
+    private val now: () -> Instant,
+) {
+    private val connections = ConcurrentHashMap<SessionId, WireConnection>()
+    private val runs = ConcurrentHashMap<AttemptId, Job>()
+
+    /** Attempts that wait or run. */
+    val running: Int get() = runs.size
+
+    /** Serves [connection] until it ends. */
+    suspend fun serve(connection: WireConnection) {
+        connections[connection.session] = connection
+        try {
+            for (message in connection.incoming) {
+                receive(connection, message)
+            }
+        } finally {
+            connections.remove(connection.session)
+            table.detach(connection.session, now())
+        }
+    }
+
+    /** Sends [message] on every open connection that has room. */
+    fun broadcast(message: WireMessage) {
+        connections.values.forEach { it.trySend(message) }
+    }
+
+    /** Forgets ended attempts and stops those that nobody has asked for; returns only by cancellation. */
+    suspend fun expireLoop() {
+        while (true) {
+            delay(EXPIRY_INTERVAL)
+            table.expire(now()).forEach { cancel(Cancel(it)) }
+        }
+    }
+
+    private suspend fun receive(
+        connection: WireConnection,
+        message: WireMessage,
+    ) {
+        when (message) {
+            is Offer -> offer(connection, message)
+            is Resolve -> table.resolve(message, connection.session, now()).forEach { connection.send(it) }
+            is Cancel -> cancel(message)
+            else -> handleOther(connection, message)
+        }
+    }
+
+    private suspend fun offer(
+        connection: WireConnection,
+        offer: Offer,
+    ) {
+        val source = OfferSource(session = connection.session, freshAt = connection.freshAt)
+        val decision = table.offer(offer, source, now())
+        decision.replies.forEach { connection.send(it) }
+        if (decision is OfferDecision.Run) {
+            start(offer)
+        }
+    }
+
+    private fun start(offer: Offer) {
+        val job =
+            scope.launch {
+                try {
+                    run(offer, sinkOf(offer.attempt))
+                } finally {
+                    runs.remove(offer.attempt)
+                }
+            }
+        runs[offer.attempt] = job
+        if (job.isCompleted) {
+            runs.remove(offer.attempt)
+        }
+    }
+
+    private fun cancel(cancel: Cancel) {
+        if (table.cancel(cancel, now()) != CancelDecision.NOTHING) {
+            runs.remove(cancel.attempt)?.cancel(CancellationException("cancelled by the caller"))
+        }
+    }
+
+    private fun sinkOf(attempt: AttemptId): AnswerSink =
+        AnswerSink(
+            begin = { begin(attempt) },
+            head = { status, headers -> deliver(table.head(AnswerHead(attempt, status, headers), now())) },
+            bytes = { deliver(table.append(attempt, it, now())) },
+            end = { deliver(table.end(attempt, now())) },
+            fail = { runState, reason -> deliver(table.fail(attempt, runState, reason, now())) },
+        )
+
+    private suspend fun begin(attempt: AttemptId): Boolean =
+        when (val decision = table.start(attempt, now())) {
+            is StartDecision.Call -> {
+                true
+            }
+
+            is StartDecision.Skip -> {
+                deliver(decision.delivery)
+                false
+            }
+        }
+
+    private suspend fun deliver(delivery: Delivery?) {
+        val connection = connections[delivery?.session ?: return] ?: return
+        delivery.messages.forEach { connection.send(it) }
+    }
+
+    private companion object {
+        val EXPIRY_INTERVAL = 1.seconds
+    }
+}
--- /dev/null
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/SidecarDaemon.kt
@@ -0,0 +1,134 @@
+package tanagerlane.sidecar
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.map
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import io.vertx.core.Vertx
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.slf4j.LoggerFactory
+import tanagerlane.attempts.AttemptTable
+import tanagerlane.membership.Member
+import tanagerlane.message.Hello
+import tanagerlane.message.HostRole
+import tanagerlane.message.LoadReport
+import tanagerlane.model.Incarnation
+import tanagerlane.platform.MemberRegistration
+import tanagerlane.platform.MonotonicClock
+import tanagerlane.platform.OperatorServer
+import tanagerlane.settings.SidecarSettings
+import tanagerlane.store.ObjectStore
+import tanagerlane.wire.WireAddress
+import tanagerlane.wire.WireEndpoint
+import tanagerlane.wire.WireFault
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** The process beside one target: the only way to it. */
+public class SidecarDaemon(
+    private val settings: SidecarSettings,
+    private val store: ObjectStore,
+    private val vertx: Vertx,
+    private val clock: MonotonicClock = MonotonicClock(),
+) {
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val incarnation = Incarnation(clock.now().toEpochMilliseconds())
+    private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    private val table = AttemptTable(incarnation)
+    private val client = TargetClient(vertx, settings.targetUrl)
+    private val endpoint = WireEndpoint(hello(), scope, now = clock::now)
+    private val registration = MemberRegistration(store)
+    private val attempts = AttemptServer(table, scope, client::run, { _, _ -> }, clock::now)
+    private val operators = OperatorServer(vertx, registry, ready = { !draining }, status = ::status)
+
+    @Volatile
+    private var draining = false
+
+    @Volatile
+    private var member: Member? = null
+
+    /** Starts to listen and registers; returns the address for other processes. */
+    public suspend fun start(): Result<WireAddress, WireFault> {
+        val address = WireAddress(settings.host.address, settings.host.wirePort)
+        return endpoint.listen(address, attempts::serve).map { bound ->
+            operators.start(settings.host.address, settings.host.operatorPort)
+            scope.launch { attempts.expireLoop() }
+            scope.launch { reportLoop() }
+            register(bound)
+            logger.info("sidecar of {} listens on {}", settings.target, bound)
+            bound
+        }
+    }
+
+    /** Takes no new work, lets what runs finish, then stops. */
+    public suspend fun drainAndStop() {
+        draining = true
+        attempts.broadcast(loadReport())
+        member?.let { registration.remove(it) }
+        while (attempts.running > 0) {
+            delay(DRAIN_INTERVAL)
+        }
+        stop()
+    }
+
+    /** Stops at once. */
+    public suspend fun stop() {
+        endpoint.close()
+        scope.cancel()
+        operators.stop()
+    }
+
+    private fun register(bound: WireAddress) {
+        val registered =
+            Member(
+                host = settings.host.name,
+                role = HostRole.SIDECAR,
+                incarnation = incarnation,
+                failureDomain = settings.host.failureDomain,
+                address = bound.toString(),
+                target = settings.target,
+            )
+        member = registered
+        scope.launch { registration.register(registered) }
+    }
+
+    private suspend fun reportLoop() {
+        while (true) {
+            attempts.broadcast(loadReport())
+            delay(REPORT_INTERVAL)
+        }
+    }
+
+    private fun loadReport(): LoadReport =
+        LoadReport(
+            target = settings.target,
+            onlineQueued = 0,
+            onlineRunning = attempts.running,
+            window = DEFAULT_WINDOW,
+            draining = draining,
+        )
+
+    private fun hello(): Hello =
+        Hello(
+            protocolVersion = WireEndpoint.PROTOCOL_VERSION,
+            host = settings.host.name,
+            role = HostRole.SIDECAR,
+            incarnation = incarnation,
+            failureDomain = settings.host.failureDomain,
+        )
+
+    private fun status(): String =
+        """{"role":"sidecar","host":"${settings.host.name}","target":"${settings.target}","running":${attempts.running}}"""
+
+    private companion object {
+        const val DEFAULT_WINDOW = 16
+        val REPORT_INTERVAL = 1.seconds
+        val DRAIN_INTERVAL = 50.milliseconds
+        val logger = LoggerFactory.getLogger(SidecarDaemon::class.java)
+    }
+}
--- /dev/null
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/TargetClient.kt
@@ -0,0 +1,132 @@
+package tanagerlane.sidecar
+
+import io.vertx.core.Vertx
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpClientRequest
+import io.vertx.core.http.HttpClientResponse
+import io.vertx.core.http.HttpMethod
+import io.vertx.core.http.PoolOptions
+import io.vertx.core.http.RequestOptions
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.channels.Channel
+import tanagerlane.message.ChatWork
+import tanagerlane.message.Header
+import tanagerlane.message.Offer
+import tanagerlane.message.ServiceWork
+import tanagerlane.model.Payload
+import tanagerlane.model.RefusalReason
+import tanagerlane.model.RequestId
+import tanagerlane.model.RunState
+import java.net.ConnectException
+
+/**
+ * Calls the target over HTTP and passes its answer on byte by byte.
+ *
+ * @param targetUrl base URL of the target
+ */
+internal class TargetClient(
+    vertx: Vertx,
+    private val targetUrl: String,
+) {
+    private val client = vertx.createHttpClient(PoolOptions().setHttp1MaxSize(MAXIMUM_CONNECTIONS))
+
+    /** Runs the work of [offer] and reports to [sink]. */
+    suspend fun run(
+        offer: Offer,
+        sink: AnswerSink,
+    ) {
+        if (!sink.begin()) {
+            return
+        }
+        try {
+            call(callOf(offer), sink)
+        } catch (exception: CancellationException) {
+            throw exception
+        } catch (_: ConnectException) {
+            sink.fail(RunState.NOT_RUN, RefusalReason.NO_TARGET)
+        } catch (_: Exception) {
+            sink.fail(RunState.UNKNOWN, RefusalReason.TARGET_FAILED)
+        }
+    }
+
+    private fun callOf(offer: Offer): TargetCall =
+        when (val work = offer.work) {
+            is ChatWork -> chatCall(offer.attempt.request, work)
+            is ServiceWork -> serviceCall(offer.attempt.request, work)
+        }
+
+    private fun chatCall(
+        id: RequestId,
+        work: ChatWork,
+    ) = TargetCall(
+        method = HttpMethod.POST,
+        path = "/v1/chat/completions",
+        headers = listOf(Header("content-type", "application/json"), Header(REQUEST_ID, id.text)),
+        body = work.body,
+    )
+
+    private fun serviceCall(
+        id: RequestId,
+        work: ServiceWork,
+    ) = TargetCall(
+        method = HttpMethod.valueOf(work.method),
+        path = work.path,
+        headers = work.headers + Header(REQUEST_ID, id.text),
+        body = work.body,
+    )
+
+    private suspend fun call(
+        call: TargetCall,
+        sink: AnswerSink,
+    ) {
+        val options = RequestOptions().setMethod(call.method).setAbsoluteURI(targetUrl + call.path)
+        val request = client.request(options).coAwait()
+        call.headers.forEach { request.putHeader(it.name, it.value) }
+        try {
+            val response = request.send(Buffer.buffer(call.body.toByteArray())).coAwait()
+            passOn(response, sink)
+        } catch (exception: CancellationException) {
+            reset(request)
+            throw exception
+        }
+    }
+
+    private suspend fun passOn(
+        response: HttpClientResponse,
+        sink: AnswerSink,
+    ) {
+        val pieces = Channel<Buffer>(Channel.UNLIMITED)
+        response.handler { pieces.trySend(it) }
+        response.endHandler { pieces.close() }
+        response.exceptionHandler { pieces.close(it) }
+        sink.head(response.statusCode(), passedHeaders(response))
+        for (piece in pieces) {
+            sink.bytes(Payload.of(piece.bytes))
+        }
+        sink.end()
+    }
+
+    private fun reset(request: HttpClientRequest) {
+        request.reset()
+    }
+
+    private fun passedHeaders(response: HttpClientResponse): List<Header> =
+        response
+            .headers()
+            .map { Header(it.key.lowercase(), it.value) }
+            .filter { it.name in PASSED_HEADERS }
+
+    private data class TargetCall(
+        val method: HttpMethod,
+        val path: String,
+        val headers: List<Header>,
+        val body: Payload,
+    )
+
+    private companion object {
+        const val MAXIMUM_CONNECTIONS = 256
+        const val REQUEST_ID = "x-request-id"
+        val PASSED_HEADERS = setOf("content-type", "cache-control", "etag", "last-modified", "location")
+    }
+}
--- a/tanagerlane-wire/src/main/kotlin/tanagerlane/wire/WireConnection.kt
+++ b/tanagerlane-wire/src/main/kotlin/tanagerlane/wire/WireConnection.kt
@@ -11,17 +11,22 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
+import tanagerlane.attempts.Liveness
+import tanagerlane.attempts.SessionId
+import tanagerlane.attempts.SilenceDetector
 import tanagerlane.message.Hello
 import tanagerlane.message.Ping
 import tanagerlane.message.Pong
 import tanagerlane.message.WireMessage
 import java.io.IOException
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Duration
 import kotlin.time.Instant
 
 /**
  * An open connection to another process, after the greeting.
  *
- * Pings keep it under watch: when nothing comes for [WireLimits.silence] it closes with [WireFault.Silent], so that
+ * Pings keep it under watch: when nothing comes for the silence bound it closes with [WireFault.Silent], so that
  * its user makes a new one.
  *
  * @property peer greeting of the other side
@@ -32,20 +37,26 @@
     private val limits: WireLimits,
     parent: CoroutineScope,
     private val now: () -> Instant,
+    openedAt: Instant,
 ) {
+    /** Number of this connection on this host. */
+    public val session: SessionId = SessionId(sessions.incrementAndGet())
+
     private val job = Job(parent.coroutineContext[Job])
     private val scope = CoroutineScope(parent.coroutineContext + job)
     private val outgoing = Channel<WireMessage>(limits.outgoingMessages)
     private val received = Channel<WireMessage>(limits.outgoingMessages)
 
-    @Volatile
-    private var lastReceived: Instant = now()
+    private val detector = SilenceDetector(openedAt, limits.liveness)
 
     /** Why the connection ended, or null while it is open. */
     @Volatile
     public var fault: WireFault? = null
         private set
 
+    /** When this host sent the newest greeting or ping that the other side has answered. */
+    public val freshAt: Instant get() = synchronized(detector) { detector.freshAt }
+
     /** Messages from the other side, except pings; closed when the connection ends. */
     public val incoming: ReceiveChannel<WireMessage> get() = received
 
@@ -55,7 +66,7 @@
     internal fun start(): WireConnection {
         scope.launch { writeLoop() }
         scope.launch { readLoop() }
-        scope.launch { pingLoop() }
+        scope.launch { watchLoop() }
         return this
     }
 
@@ -119,10 +130,10 @@
     }
 
     private suspend fun receive(message: WireMessage) {
-        lastReceived = now()
+        synchronized(detector) { detector.received(now()) }
         when (message) {
             is Ping -> trySend(Pong(message.nonce))
-            is Pong -> Unit
+            is Pong -> synchronized(detector) { detector.pongReceived(message.nonce, now()) }
             else -> deliver(message)
         }
     }
@@ -135,15 +146,26 @@
         }
     }
 
-    private suspend fun pingLoop() {
-        var nonce = 0L
+    private suspend fun watchLoop() {
         while (isOpen) {
-            delay(limits.pingInterval)
-            nonce += 1
-            trySend(Ping(nonce))
-            if (now() - lastReceived > limits.silence) {
-                close(WireFault.Silent)
+            val decidedAt = now()
+            when (val decision = synchronized(detector) { detector.decide(decidedAt) }) {
+                is Liveness.Replace -> close(WireFault.Silent)
+                is Liveness.SendPing -> ping(decision.nonce, decision.until - decidedAt)
+                is Liveness.Wait -> delay(decision.until - decidedAt)
             }
         }
     }
+
+    private suspend fun ping(
+        nonce: Long,
+        pause: Duration,
+    ) {
+        trySend(Ping(nonce))
+        delay(pause)
+    }
+
+    private companion object {
+        val sessions = AtomicLong()
+    }
 }
--- a/tanagerlane-wire/src/main/kotlin/tanagerlane/wire/WireEndpoint.kt
+++ b/tanagerlane-wire/src/main/kotlin/tanagerlane/wire/WireEndpoint.kt
@@ -128,10 +128,11 @@
         expected: HostName?,
     ): Result<WireConnection, WireFault> {
         val frames = FrameChannel(socket, limits)
+        val openedAt = now()
         return sendHello(frames)
             .flatMap { frames.read() }
             .flatMap { checkHello(it, expected) }
-            .flatMap { peer -> Ok(WireConnection(peer, frames, limits, scope, now).start()) }
+            .flatMap { peer -> Ok(WireConnection(peer, frames, limits, scope, now, openedAt).start()) }
             .onErr { frames.close() }
     }
 
--- a/tanagerlane-wire/src/test/kotlin/tanagerlane/wire/WireEndpointTest.kt
+++ b/tanagerlane-wire/src/test/kotlin/tanagerlane/wire/WireEndpointTest.kt
@@ -13,6 +13,7 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
+import tanagerlane.attempts.LivenessSettings
 import tanagerlane.message.AnswerFragment
 import tanagerlane.message.Hello
 import tanagerlane.message.HostRole
@@ -50,7 +51,10 @@
 
         test("a connection on which nothing comes any more is given up") {
             ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { silent ->
-                val limits = WireLimits(pingInterval = 20.milliseconds, silence = 200.milliseconds)
+                val limits =
+                    WireLimits(
+                        liveness = LivenessSettings(pingInterval = 20.milliseconds, silenceBound = 200.milliseconds),
+                    )
                 withEndpoints(limits) { _, _, _ -> connectToSilent(silent, limits).fault shouldBe WireFault.Silent }
             }
         }
