--- /dev/null
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/CallerExchange.kt
@@ -0,0 +1,133 @@
+package tanagerlane.entry
+
+import io.vertx.core.buffer.Buffer
+import io.vertx.ext.web.RoutingContext
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.json.Json
+import tanagerlane.caller.ErrorDetail
+import tanagerlane.caller.ErrorDocument
+import tanagerlane.message.Header
+import tanagerlane.model.Payload
+import tanagerlane.model.RefusalReason
+import tanagerlane.model.RunState
+import tanagerlane.model.WorkspaceName
+import kotlin.time.Duration
+import kotlin.time.DurationUnit
+
+/**
+ * One caller's request and the answer to it.
+ *
+ * @param record keeps each refusal before the caller hears it
+ */
+internal class CallerExchange(
+    private val context: RoutingContext,
+    private val record: suspend (WorkspaceName?, Refusal) -> Unit,
+) {
+    /** Workspace of the caller's key, once it is known. */
+    var workspace: WorkspaceName? = null
+
+    val method: String get() = context.request().method().name()
+
+    /** Path and query as the caller sent them. */
+    val uri: String get() = context.request().uri().orEmpty()
+
+    val body: Payload
+        get() {
+            val buffer: Buffer = context.body().buffer() ?: return Payload.EMPTY
+            return Payload.of(buffer.bytes)
+        }
+
+    fun header(name: String): String? = context.request().getHeader(name)
+
+    fun parameter(name: String): String? = context.request().getParam(name)
+
+    /** Headers that are passed on to a plain service; a key is never among them. */
+    fun passedHeaders(): List<Header> =
+        context
+            .request()
+            .headers()
+            .map { Header(it.key.lowercase(), it.value) }
+            .filter { it.name in PASSED_HEADERS }
+
+    /** Calls [action] when the caller's connection ends before the answer does. */
+    fun onGone(action: () -> Unit) {
+        context.response().closeHandler { action() }
+    }
+
+    suspend fun refuse(refusal: Refusal) {
+        record(workspace, refusal)
+        val detail = ErrorDetail(type = refusal.reason, run = refusal.runState, message = refusal.explanation)
+        refusal.retryAfter?.let { context.response().putHeader("retry-after", secondsRoundedUp(it)) }
+        sendJson(refusal.reason.httpStatus, ErrorDocument.serializer(), ErrorDocument(detail))
+    }
+
+    suspend fun <T> sendJson(
+        status: Int,
+        serializer: KSerializer<T>,
+        document: T,
+    ) {
+        val response = context.response().setStatusCode(status).putHeader("content-type", "application/json")
+        if (!response.closed()) {
+            response.end(Json.encodeToString(serializer, document)).coAwait()
+        }
+    }
+
+    /** Sink that writes the answer of a target to the caller as it comes. */
+    fun sink(): CallerSink =
+        CallerSink(
+            head = ::writeHead,
+            bytes = ::writeBytes,
+            complete = ::complete,
+            refuse = ::refuse,
+            abort = ::abort,
+        )
+
+    private suspend fun writeHead(
+        status: Int,
+        headers: List<Header>,
+    ) {
+        val response = context.response().setStatusCode(status).setChunked(true)
+        headers.forEach { response.putHeader(it.name, it.value) }
+    }
+
+    private suspend fun writeBytes(bytes: Payload) {
+        if (!context.response().closed()) {
+            context.response().write(Buffer.buffer(bytes.toByteArray())).coAwait()
+        }
+    }
+
+    private suspend fun complete() {
+        if (!context.response().closed()) {
+            context.response().end().coAwait()
+        }
+    }
+
+    /** Tells the caller of a stream by an error event; any other answer is cut, so that it can't be taken for whole. */
+    private suspend fun abort(reason: RefusalReason) {
+        val refusal = Refusal(reason, RunState.UNKNOWN, reason.explanation)
+        record(workspace, refusal)
+        val detail = ErrorDetail(type = reason, run = RunState.UNKNOWN, message = refusal.explanation)
+        if (context
+                .response()
+                .headers()["content-type"]
+                .orEmpty()
+                .startsWith(EVENT_STREAM)
+        ) {
+            val event = Json.encodeToString(ErrorDocument.serializer(), ErrorDocument(detail))
+            writeBytes(Payload.of("data: $event\n\n"))
+        }
+        context.response().reset()
+    }
+
+    private fun secondsRoundedUp(duration: Duration): String =
+        kotlin.math
+            .ceil(duration.toDouble(DurationUnit.SECONDS))
+            .toLong()
+            .toString()
+
+    private companion object {
+        const val EVENT_STREAM = "text/event-stream"
+        val PASSED_HEADERS = setOf("accept", "accept-language", "content-type", "if-match", "if-none-match")
+    }
+}
--- /dev/null
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/Gate.kt
@@ -0,0 +1,40 @@
+package tanagerlane.entry
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import tanagerlane.model.RefusalReason
+import tanagerlane.model.RunState
+import tanagerlane.model.WorkspaceName
+
+/**
+ * Decides whether a caller is served at all.
+ *
+ * @param state configuration in force, or null while there is none that may be relied on
+ * @param draining whether the host is stopping
+ */
+internal class Gate(
+    private val state: () -> EntryState?,
+    private val draining: () -> Boolean,
+) {
+    /** Lets a caller pass on a route that is open to all. */
+    fun passOpen(): Result<EntryState, Refusal> {
+        if (draining()) {
+            return refused(RefusalReason.SHUTTING_DOWN)
+        }
+        val current = state() ?: return refused(RefusalReason.CONFIGURATION_STALE)
+        return Ok(current)
+    }
+
+    /** Finds the workspace of the caller's key. */
+    fun workspaceOf(
+        current: EntryState,
+        exchange: CallerExchange,
+    ): Result<WorkspaceName, Refusal> {
+        val workspace = current.keys.workspaceOf(exchange.header("authorization"))
+        exchange.workspace = workspace
+        return if (workspace == null) refused(RefusalReason.NO_KEY) else Ok(workspace)
+    }
+
+    private fun refused(reason: RefusalReason) = Err(Refusal(reason, RunState.NOT_RUN, reason.explanation))
+}
--- /dev/null
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/RequestRunner.kt
@@ -0,0 +1,103 @@
+package tanagerlane.entry
+
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.withTimeoutOrNull
+import tanagerlane.attempts.AttemptAction
+import tanagerlane.attempts.AttemptEvent
+import tanagerlane.attempts.AttemptPolicy
+import tanagerlane.attempts.AttemptState
+import tanagerlane.attempts.AttemptTracker
+import tanagerlane.attempts.TrackedRequest
+import tanagerlane.message.Offer
+import tanagerlane.model.RequestClass
+import tanagerlane.model.TargetName
+import kotlin.time.Instant
+
+/**
+ * Carries requests to targets and their answers back.
+ *
+ * @param pick chooses a target for a request, other than those tried already where it can
+ */
+internal class RequestRunner(
+    private val links: SidecarLinks,
+    private val active: ActiveRequests,
+    private val pick: (OnlineRequest, AttemptAction.TryNext) -> AttemptEvent,
+    private val policy: AttemptPolicy,
+    private val now: () -> Instant,
+) {
+    /** Runs [request] until its caller has an answer or a refusal; [events] may bring word that the caller has gone. */
+    suspend fun run(
+        request: OnlineRequest,
+        events: Channel<AttemptEvent>,
+        sink: CallerSink,
+    ) {
+        active.add(request.id, events)
+        try {
+            RequestRun(request, events, sink).follow()
+        } finally {
+            active.remove(request.id, events)
+        }
+    }
+
+    private inner class RequestRun(
+        private val request: OnlineRequest,
+        private val events: Channel<AttemptEvent>,
+        private val sink: CallerSink,
+    ) {
+        private val tracker = AttemptTracker(TrackedRequest(request.id, request.idempotent, request.deadline), policy)
+        private var timerAt = request.deadline
+
+        suspend fun follow() {
+            tracker.begin().forEach { perform(it) }
+            while (tracker.state != AttemptState.DONE && tracker.state != AttemptState.REFUSED) {
+                val event = withTimeoutOrNull(timerAt - now()) { events.receive() } ?: AttemptEvent.TimerFired
+                tracker.handle(event, now()).forEach { perform(it) }
+            }
+        }
+
+        private suspend fun perform(action: AttemptAction) {
+            when (action) {
+                is AttemptAction.TryNext -> events.send(pick(request, action))
+                is AttemptAction.SendOffer -> sendOffer(action)
+                is AttemptAction.SendResolve -> links.of(action.target)?.send(action.resolve)
+                is AttemptAction.SendCancel -> links.of(action.target)?.send(action.cancel)
+                is AttemptAction.Reconnect -> reconnect(action.target, action.since)
+                is AttemptAction.DeliverHead -> sink.head(action.status, action.headers)
+                is AttemptAction.DeliverBytes -> sink.bytes(action.bytes)
+                is AttemptAction.Complete -> sink.complete()
+                is AttemptAction.Refuse -> sink.refuse(refusalOf(action))
+                is AttemptAction.Abort -> sink.abort(action.reason)
+                is AttemptAction.SetTimer -> timerAt = action.at
+            }
+        }
+
+        private suspend fun sendOffer(action: AttemptAction.SendOffer) {
+            val sent = links.of(action.target)?.send(offerOf(action), action.expectedIncarnation) ?: false
+            if (!sent) {
+                events.send(AttemptEvent.NotSent(action.attempt))
+            }
+        }
+
+        private suspend fun reconnect(
+            target: TargetName,
+            since: Instant,
+        ) {
+            links.of(target)?.reconnect(since)?.let { events.send(it) }
+        }
+
+        private fun offerOf(action: AttemptAction.SendOffer): Offer =
+            Offer(
+                attempt = action.attempt,
+                workspace = request.workspace,
+                requestClass = RequestClass.ONLINE,
+                idempotent = request.idempotent,
+                remaining = action.remaining,
+                work = request.work,
+                expectedIncarnation = action.expectedIncarnation,
+                traceParent = request.traceParent,
+            )
+
+        private fun refusalOf(action: AttemptAction.Refuse): Refusal =
+            Refusal(action.reason, action.runState, explanation = action.reason.explanation)
+    }
+}
--- /dev/null
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/SidecarLinks.kt
@@ -0,0 +1,70 @@
+package tanagerlane.entry
+
+import kotlinx.coroutines.CoroutineScope
+import tanagerlane.attempts.AttemptEvent
+import tanagerlane.membership.Member
+import tanagerlane.message.LoadReport
+import tanagerlane.message.WireMessage
+import tanagerlane.model.TargetName
+import tanagerlane.wire.WireEndpoint
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Instant
+
+/**
+ * Connections to the sidecars that this entry uses.
+ *
+ * @param onLoad hears of each report of load
+ */
+internal class SidecarLinks(
+    private val endpoint: WireEndpoint,
+    private val scope: CoroutineScope,
+    private val active: ActiveRequests,
+    private val now: () -> Instant,
+    private val onLoad: (LoadReport) -> Unit,
+) {
+    private val links = ConcurrentHashMap<TargetName, MemberLink>()
+
+    /** The link to [target], or null when its sidecar isn't registered. */
+    fun of(target: TargetName): SidecarLink? = links[target]?.link
+
+    /** Targets whose sidecars are connected. */
+    fun connected(): List<TargetName> = links.values.filter { it.link.incarnation != null }.map { it.link.target }
+
+    /** Follows the registrations: links to new and restarted sidecars are made. */
+    fun update(members: List<Member>) {
+        for (member in members) {
+            val target = member.target ?: continue
+            if (links[target]?.member != member) {
+                links.put(target, link(target, member))?.link?.stop()
+            }
+        }
+    }
+
+    /** Ends all connections. */
+    fun stop() {
+        links.values.forEach { it.link.stop() }
+    }
+
+    private fun link(
+        target: TargetName,
+        member: Member,
+    ): MemberLink {
+        val link = SidecarLink(target, member, endpoint, now) { _, event -> receive(event) }
+        link.start(scope)
+        return MemberLink(member, link)
+    }
+
+    private fun receive(event: AttemptEvent) {
+        val message: WireMessage? = (event as? AttemptEvent.Received)?.message
+        if (message is LoadReport) {
+            onLoad(message)
+        } else {
+            active.deliver(event)
+        }
+    }
+
+    private data class MemberLink(
+        val member: Member,
+        val link: SidecarLink,
+    )
+}
