Run the whole path in one process

Cause: the first run of the path took 68 s. Ktor's selector loop blocks its thread, and each endpoint ran it on the default dispatcher, so 13 endpoints on 10 threads starved everything else. Ruled out: the object API's stand-in (its contract test takes 1.6 s) and the engine's stand-in (8 tests in 1.6 s). Change: selectors run on the dispatcher for blocking calls.

Also an answer's body is held back until its handlers are set: one of three answers from a target had lost its bytes and was refused with status 502.

--- /dev/null
+++ b/tanagerlane-cli/src/test/kotlin/tanagerlane/cli/demo/LocalDeploymentTest.kt
@@ -0,0 +1,90 @@
+package tanagerlane.cli.demo
+
+import com.github.michaelbull.result.get
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import io.vertx.core.Vertx
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import tanagerlane.configuration.SettingsReader
+import tanagerlane.inventory.CallerKey
+import tanagerlane.inventory.Configuration
+import tanagerlane.model.KeyDigest
+import tanagerlane.model.Revision
+import tanagerlane.platform.StoredDocuments
+import tanagerlane.store.ObjectKey
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import java.nio.file.Files
+import java.nio.file.Path
+import java.security.MessageDigest
+import java.util.HexFormat
+import kotlin.time.Duration.Companion.seconds
+
+class LocalDeploymentTest :
+    FunSpec({
+        val inventory = checkNotNull(readInventory("../examples/sporskifte/inventory.toml"))
+        val deployment = LocalDeployment(inventory, entryCount = 2, Vertx.vertx())
+        val client = HttpClient.newHttpClient()
+
+        beforeSpec {
+            withTimeout(60.seconds) {
+                deployment.start(callerPort = 0)
+                val key = CallerKey(digestOf("tl-test"), inventory.workspaces.first().name, "test")
+                val configuration = Configuration(Revision(1), inventory, listOf(key))
+                deployment.memoryStore.put(
+                    ObjectKey("configuration/current"),
+                    StoredDocuments.encode(Configuration.serializer(), configuration),
+                    null,
+                )
+                deployment.awaitReady()
+            }
+        }
+        afterSpec { deployment.stop() }
+
+        fun post(
+            path: String,
+            body: String,
+            key: String = "tl-test",
+        ): HttpResponse<String> =
+            client.send(
+                HttpRequest
+                    .newBuilder(URI(deployment.baseUrl(0) + path))
+                    .header("authorization", "Bearer $key")
+                    .POST(HttpRequest.BodyPublishers.ofString(body))
+                    .build(),
+                HttpResponse.BodyHandlers.ofString(),
+            )
+
+        test("a chat completion comes back whole") {
+            val answer =
+                post(
+                    "/v1/chat/completions",
+                    """{"model":"finding-models","messages":[{"role":"user","content":"points 12"}],"max_tokens":4}""",
+                )
+            answer.statusCode() shouldBe 200
+            answer.body() shouldContain "\"chat.completion\""
+        }
+
+        test("a streamed chat completion ends with its last event") {
+            val answer =
+                post(
+                    "/v1/chat/completions",
+                    """{"model":"finding-models","messages":[{"role":"user","content":"a"}],"max_tokens":4,"stream":true}""",
+                )
+            answer.body().trim().endsWith("data: [DONE]") shouldBe true
+        }
+
+        test("a request without a valid key is refused") {
+            post("/v1/chat/completions", "{}", key = "tl-other").statusCode() shouldBe 401
+        }
+    })
+
+private fun readInventory(path: String) =
+    runBlocking { SettingsReader.inventory().read(path, Files.readString(Path.of(path))).get() }
+
+private fun digestOf(key: String): KeyDigest =
+    KeyDigest(HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(key.encodeToByteArray())))
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/EntryDaemon.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/EntryDaemon.kt
@@ -69,6 +69,12 @@
     public var callerPort: Int = 0
         private set
 
+    /** Whether a configuration is in force. */
+    public val isReady: Boolean get() = state != null
+
+    /** Number of targets whose sidecars are connected. */
+    public val connectedTargets: Int get() = links.connected().size
+
     /** Starts to listen; returns the address for other processes. */
     public suspend fun start(): Result<WireAddress, WireFault> {
         val address = WireAddress(settings.host.address, settings.host.wirePort)
--- a/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/TargetClient.kt
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/TargetClient.kt
@@ -84,7 +84,7 @@
         val request = client.request(options).coAwait()
         call.headers.forEach { request.putHeader(it.name, it.value) }
         try {
-            val response = request.send(Buffer.buffer(call.body.toByteArray())).coAwait()
+            val response = request.send(Buffer.buffer(call.body.toByteArray())).map(::paused).coAwait()
             passOn(response, sink)
         } catch (exception: CancellationException) {
             reset(request)
@@ -100,6 +100,7 @@
         response.handler { pieces.trySend(it) }
         response.endHandler { pieces.close() }
         response.exceptionHandler { pieces.close(it) }
+        response.resume()
         sink.head(response.statusCode(), passedHeaders(response))
         for (piece in pieces) {
             sink.bytes(Payload.of(piece.bytes))
@@ -107,6 +108,12 @@
         sink.end()
     }
 
+    /** Holds the body back until its handlers are set, lest its first bytes be lost. */
+    private fun paused(response: HttpClientResponse): HttpClientResponse {
+        response.pause()
+        return response
+    }
+
     private fun reset(request: HttpClientRequest) {
         request.reset()
     }
--- a/tanagerlane-wire/src/main/kotlin/tanagerlane/wire/WireEndpoint.kt
+++ b/tanagerlane-wire/src/main/kotlin/tanagerlane/wire/WireEndpoint.kt
@@ -13,6 +13,7 @@
 import io.ktor.network.sockets.aSocket
 import io.ktor.network.sockets.port
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
@@ -37,7 +38,7 @@
     private val limits: WireLimits = WireLimits(),
     private val now: () -> Instant,
 ) {
-    private val selector = SelectorManager(scope.coroutineContext)
+    private val selector = SelectorManager(Dispatchers.IO)
 
     @Volatile
     private var listener: ServerSocket? = null
