--- /dev/null
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/limits/SlotLeases.kt
@@ -0,0 +1,249 @@
+package tanagerlane.limits
+
+import com.github.michaelbull.result.Result
+import tanagerlane.message.EntrySlot
+import tanagerlane.message.Nonce
+import tanagerlane.message.SlotHeartbeat
+import tanagerlane.message.SlotPromise
+import tanagerlane.message.WireMessage
+import tanagerlane.model.FailureDomain
+import tanagerlane.model.HostName
+import tanagerlane.store.ObjectKey
+import tanagerlane.store.ObjectVersion
+import tanagerlane.store.StoreFailure
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
+import kotlin.time.Duration
+import kotlin.time.Instant
+
+/**
+ * Decides which slots this entry claims, keeps and gives up.
+ *
+ * A slot is an object that names its holder and one successor. Only the successor may take it over, and only after it
+ * has itself seen the object unchanged for the term of takeover and its last promise to the holder is over.
+ *
+ * The holder counts its slot while its last renewal is recent or the successor's promise lasts. So a holder cut off
+ * from the object API alone, or from everybody's at once in an outage, goes on for as long as its successor answers.
+ * One cut off from its successor alone goes on by renewals. One cut off from both stops before its successor can
+ * start, and resumes only by a renewal that takes effect, which shows that nobody took the slot over meanwhile.
+ * A slot whose holder and successor are both lost may be taken by any entry after the term of abandonment.
+ */
+public class SlotLeases(
+    private val settings: SlotSettings,
+    private val failureDomain: FailureDomain,
+) {
+    private val lock = ReentrantLock()
+    private val times = settings.times
+    private val slots = List(settings.slotCount) { SlotState(it, settings) }
+    private val promisesReceived = HashMap<HostName, Instant>()
+    private val promisesGiven = HashMap<HostName, Instant>()
+    private var heartbeatSentAt = Instant.DISTANT_PAST
+    private var isStopping = false
+
+    /** Notes slots as they were read or watched; a slot without an object must be reported once, too. */
+    public fun observe(
+        records: List<SlotRecord>,
+        now: Instant,
+    ) {
+        lock.withLock { records.forEach { slots.getOrNull(it.slot)?.observe(it, now) } }
+    }
+
+    /** Returns the writes that are due; each must be made and then reported to [concluded]. */
+    public fun writes(
+        peers: List<EntryPeer>,
+        now: Instant,
+    ): List<SlotWrite> =
+        lock.withLock {
+            val wanted = if (isStopping) 0 else (settings.slotCount + peers.size) / (peers.size + 1)
+            surplus(wanted).forEach { it.stopUsing(now) }
+            val kept = slots.indices.mapNotNull { keep(it, peers, now) }
+            kept + claims(wanted - inUse().size, peers, now)
+        }
+
+    /** Reports the outcome of a write. */
+    public fun concluded(
+        write: SlotWrite,
+        result: Result<ObjectVersion, StoreFailure>,
+        now: Instant,
+    ) {
+        lock.withLock { slots[write.slot].conclude(write, result, promisesReceived, now) }
+    }
+
+    /** Returns the slots whose shares this entry may count; ask again well within [SlotTimes.useTerm]. */
+    public fun held(now: Instant): List<HeldSlot> =
+        lock.withLock {
+            slots.filter { it.isInUse }.mapNotNull { state ->
+                state.lease
+                    ?.takeIf { now >= it.countedFrom && now < it.validUntil }
+                    ?.let { HeldSlot(state.number, it.countedFrom, minOf(it.validUntil, now + times.useTerm)) }
+            }
+        }
+
+    /** Entries that hold slots as far as is known. */
+    public fun holders(): Set<HostName> = lock.withLock { slots.mapNotNull { it.value?.holder }.toSet() }
+
+    /** Gives up all slots; they are released as [writes] goes on being called. */
+    public fun stop(now: Instant) {
+        lock.withLock {
+            isStopping = true
+            slots.forEach { it.stopUsing(now) }
+        }
+    }
+
+    /** Whether this entry holds no slot any more. */
+    public fun isReleased(): Boolean = lock.withLock { slots.none { it.lease != null || it.isClaiming } }
+
+    /** Returns the heartbeats that are due. */
+    public fun tick(now: Instant): List<Outgoing> =
+        lock.withLock {
+            if (now - heartbeatSentAt < times.heartbeatEvery) {
+                return emptyList()
+            }
+            heartbeatSentAt = now
+            val successors = slots.filter { it.lease != null }.flatMap { it.possibleSuccessors }.toSet()
+            successors.map { Outgoing(it, SlotHeartbeat(Nonce(settings.incarnation, now))) }
+        }
+
+    /** Handles a heartbeat or a promise of the entry [from]; other types of messages are ignored. */
+    public fun receive(
+        from: HostName,
+        message: WireMessage,
+        now: Instant,
+    ): List<Outgoing> =
+        lock.withLock {
+            when (message) {
+                is SlotHeartbeat -> promise(from, message.nonce, now)
+                is SlotPromise -> emptyList<Outgoing>().also { accept(from, message.nonce, now) }
+                else -> emptyList()
+            }
+        }
+
+    private fun promise(
+        to: HostName,
+        nonce: Nonce,
+        now: Instant,
+    ): List<Outgoing> {
+        if (slots.any { it.isClaiming && it.value?.holder == to }) {
+            return emptyList()
+        }
+        promisesGiven[to] = now + times.promiseTerm + times.margin
+        return listOf(Outgoing(to, SlotPromise(nonce)))
+    }
+
+    private fun accept(
+        from: HostName,
+        nonce: Nonce,
+        now: Instant,
+    ) {
+        if (nonce.incarnation != settings.incarnation) {
+            return
+        }
+        val until = nonce.sentAt + times.promiseTerm
+        promisesReceived.merge(from, until) { old, new -> maxOf(old, new) }
+        slots.forEach { it.extend(promisesReceived, now) }
+    }
+
+    private fun inUse(): List<SlotState> = slots.filter { it.isClaiming || it.isInUse }
+
+    private fun surplus(wanted: Int): List<SlotState> = slots.filter { it.isInUse }.drop(wanted)
+
+    private fun keep(
+        number: Int,
+        peers: List<EntryPeer>,
+        now: Instant,
+    ): SlotWrite? {
+        val state = slots[number]
+        val lease = state.lease?.takeIf { state.isReady } ?: return null
+        val releaseAt = lease.releaseAt
+        return when {
+            releaseAt != null && now >= releaseAt -> {
+                state.begin(free(), now)
+            }
+
+            now - lease.attemptedAt >= times.renewEvery -> {
+                state.begin(own(number, lease.successor, peers), now)
+            }
+
+            else -> {
+                null
+            }
+        }
+    }
+
+    private fun claims(
+        missing: Int,
+        peers: List<EntryPeer>,
+        now: Instant,
+    ): List<SlotWrite> {
+        if (isStopping || slots.any { it.value?.isOfOtherFleet() == true }) {
+            return emptyList()
+        }
+        val ready = slots.indices.filter { slots[it].lease == null && slots[it].isReady }
+        val former = ready.filter { slots[it].value?.holder == settings.host }
+        val free = ready.filter { isFree(it, now) }.sortedBy { preference(it) }
+        return (former + free.take((missing - former.size).coerceAtLeast(0))).map { number ->
+            val wait = if (number in former) times.useTerm else Duration.ZERO
+            slots[number].begin(own(number, null, peers), now, countedAfter = wait)
+        }
+    }
+
+    private fun isFree(
+        number: Int,
+        now: Instant,
+    ): Boolean {
+        val state = slots[number]
+        val holder = state.value?.holder ?: return true
+        val unchanged = now - state.unchangedSince
+        return when {
+            holder == settings.host -> false
+            unchanged >= times.abandonTerm -> true
+            state.value?.successor != settings.host -> false
+            else -> unchanged >= times.takeoverTerm && now >= (promisesGiven[holder] ?: Instant.DISTANT_PAST)
+        }
+    }
+
+    private fun EntrySlot.isOfOtherFleet(): Boolean = holder != null && slotCount != settings.slotCount
+
+    private fun preference(number: Int): Int = (number + settings.host.text.hashCode()).mod(settings.slotCount)
+
+    private fun own(
+        number: Int,
+        successor: HostName?,
+        peers: List<EntryPeer>,
+    ): EntrySlot {
+        val kept = successor.takeIf { host -> peers.any { it.host == host } }
+        return slot(settings.host, kept ?: chooseSuccessor(number, peers))
+    }
+
+    private fun free(): EntrySlot = slot(null, null)
+
+    private fun slot(
+        holder: HostName?,
+        successor: HostName?,
+    ): EntrySlot =
+        EntrySlot(
+            slotCount = settings.slotCount,
+            holder = holder,
+            incarnation = settings.incarnation,
+            address = settings.address,
+            wirePort = settings.wirePort,
+            term = times.takeoverTerm,
+            successor = successor,
+        )
+
+    private fun chooseSuccessor(
+        number: Int,
+        peers: List<EntryPeer>,
+    ): HostName? {
+        val elsewhere = peers.filter { it.failureDomain != failureDomain }.ifEmpty { peers }.sortedBy { it.host.text }
+        return elsewhere.getOrNull(number.mod(elsewhere.size.coerceAtLeast(1)))?.host
+    }
+
+    public companion object {
+        /** Prefix of the keys of all slots. */
+        public const val PREFIX: String = "slots/"
+
+        /** Returns the key of a slot's object. */
+        public fun key(slot: Int): ObjectKey = ObjectKey("${PREFIX}entry-$slot")
+    }
+}
