--- /dev/null
+++ b/tanagerlane-batch/src/main/kotlin/tanagerlane/jobs/JobStore.kt
@@ -0,0 +1,193 @@
+package tanagerlane.jobs
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.mapError
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.collect
+import kotlinx.coroutines.flow.filter
+import kotlinx.coroutines.flow.takeWhile
+import tanagerlane.batch.JobKeys
+import tanagerlane.batch.doneItems
+import tanagerlane.job.ChunkState
+import tanagerlane.job.JobHeader
+import tanagerlane.job.JobPhase
+import tanagerlane.job.ResultPage
+import tanagerlane.model.JobId
+import tanagerlane.model.Payload
+import tanagerlane.model.WorkspaceName
+import tanagerlane.store.ObjectKey
+import tanagerlane.store.ObjectStore
+import tanagerlane.store.ObjectVersion
+import tanagerlane.store.StoreFailure
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
+
+/**
+ * Takes jobs in and reads what became of them.
+ *
+ * @param newUpload returns a name that no other submission uses
+ */
+public class JobStore(
+    private val store: ObjectStore,
+    private val newUpload: () -> String,
+    private val limits: JobLimits = JobLimits(),
+    private val pause: Duration = 200.milliseconds,
+) {
+    /**
+     * Accepts a job whose items are the non-empty [lines].
+     *
+     * The job is stored whole when this returns. A job that was accepted before under the same name is joined when
+     * its items are the same, and fails with [JobError.ContentConflict] when they differ.
+     */
+    public suspend fun submit(
+        submission: JobSubmission,
+        lines: Flow<Payload>,
+        now: Instant,
+    ): Result<JobReceipt, JobError> {
+        val keys = keysOf(submission.workspace, submission.job).getOrElse { return Err(it) }
+        val items = lines.filter { it.size > 0 }
+        val accepted = headerOrNull(keys).getOrElse { return Err(it) }
+        return if (accepted == null) accept(submission, keys, items, now) else joined(accepted, digestOf(items))
+    }
+
+    /** Returns the progress of a job. */
+    public suspend fun status(
+        workspace: WorkspaceName,
+        job: JobId,
+    ): Result<JobStatus, JobError> {
+        val keys = keysOf(workspace, job).getOrElse { return Err(it) }
+        val header = header(keys).getOrElse { return Err(it) }.value
+        val states = states(keys).getOrElse { return Err(it) }.values
+        return Ok(JobStatus(header, states.sumOf { it.doneItems }, states.sumOf { it.failed }))
+    }
+
+    /** Returns the page of results at [cursor], or the next one that there is. */
+    public suspend fun results(
+        workspace: WorkspaceName,
+        job: JobId,
+        cursor: ResultCursor = ResultCursor.START,
+    ): Result<JobResults, JobError> {
+        val keys = keysOf(workspace, job).getOrElse { return Err(it) }
+        val header = header(keys).getOrElse { return Err(it) }.value
+        val states = states(keys).getOrElse { return Err(it) }
+        val position = positionAt(cursor, header, states) ?: return Ok(JobResults(emptyList(), null))
+        val name = states.getValue(position.chunk).pages[position.page]
+        val stored = store.get(keys.pageKey(position.chunk, name)).mapError(::unavailable).getOrElse { return Err(it) }
+        val page = stored.decoded<ResultPage>().getOrElse { return Err(it) }
+        val next = positionAt(position.copy(page = position.page + 1), header, states)
+        return Ok(JobResults(page.results, next))
+    }
+
+    /** Cancels a job; cancelling it again succeeds. Results so far stay readable. */
+    public suspend fun cancel(
+        workspace: WorkspaceName,
+        job: JobId,
+        now: Instant,
+    ): Result<JobHeader, JobError> {
+        val keys = keysOf(workspace, job).getOrElse { return Err(it) }
+        var last: StoreFailure = StoreFailure.Conflict(keys.headerKey, null)
+        repeat(CANCEL_TRIES) {
+            val current = header(keys).getOrElse { return Err(it) }
+            when (current.value.phase) {
+                JobPhase.CANCELLED -> return Ok(current.value)
+                JobPhase.FINISHED -> return Err(JobError.AlreadyEnded(JobPhase.FINISHED))
+                JobPhase.OPEN -> Unit
+            }
+            val cancelled = current.value.copy(phase = JobPhase.CANCELLED, endedAt = now)
+            last = write(keys.headerKey, cancelled, current.version).fold({ return Ok(cancelled) }, { it })
+        }
+        return Err(errorOf(last))
+    }
+
+    private suspend fun accept(
+        submission: JobSubmission,
+        keys: JobKeys,
+        items: Flow<Payload>,
+        now: Instant,
+    ): Result<JobReceipt, JobError> {
+        val upload = JobUpload(store, submission, newUpload(), limits, pause)
+        val header =
+            uploaded(upload, items, now).getOrElse {
+                upload.discard()
+                return Err(it)
+            }
+        val failure = write(keys.headerKey, header, null).fold({ return Ok(JobReceipt(header, false)) }, { it })
+        if (failure !is StoreFailure.OutcomeUnknown) {
+            upload.discard()
+        }
+        if (failure !is StoreFailure.Conflict) {
+            return Err(errorOf(failure))
+        }
+        val accepted = header(keys).getOrElse { return Err(it) }.value
+        return joined(accepted, header.digest)
+    }
+
+    private suspend fun uploaded(
+        upload: JobUpload,
+        items: Flow<Payload>,
+        now: Instant,
+    ): Result<JobHeader, JobError> {
+        val digest = ItemDigest()
+        var error: JobError? = null
+        items
+            .takeWhile { line ->
+                digest.add(line)
+                error = upload.add(line).fold({ null }, { it })
+                error == null
+            }.collect()
+        return error?.let { Err(it) } ?: upload.finish(digest.text(), now)
+    }
+
+    private suspend fun digestOf(items: Flow<Payload>): String {
+        val digest = ItemDigest()
+        items.collect { digest.add(it) }
+        return digest.text()
+    }
+
+    private fun joined(
+        accepted: JobHeader,
+        digest: String,
+    ): Result<JobReceipt, JobError> =
+        if (accepted.digest == digest) {
+            Ok(JobReceipt(accepted, joined = true))
+        } else {
+            Err(JobError.ContentConflict(accepted.job))
+        }
+
+    private suspend fun write(
+        key: ObjectKey,
+        header: JobHeader,
+        expected: ObjectVersion?,
+    ): Result<ObjectVersion, StoreFailure> = store.putSettled(key, encoded(header), expected, pause, HEADER_TRIES)
+
+    private suspend fun headerOrNull(keys: JobKeys): Result<JobHeader?, JobError> =
+        header(keys).fold(
+            { Ok(it.value) },
+            { if (it is JobError.NotFound) Ok(null) else Err(it) },
+        )
+
+    private suspend fun header(keys: JobKeys): Result<Versioned<JobHeader>, JobError> {
+        val stored =
+            store
+                .get(keys.headerKey)
+                .mapError { if (it is StoreFailure.NotFound) JobError.NotFound(keys.job) else unavailable(it) }
+                .getOrElse { return Err(it) }
+        val header = stored.decoded<JobHeader>().getOrElse { return Err(it) }
+        return Ok(Versioned(header, stored.version))
+    }
+
+    private suspend fun states(keys: JobKeys): Result<Map<Int, ChunkState>, JobError> {
+        val listing = store.list(keys.statePrefix).mapError(::unavailable).getOrElse { return Err(it) }
+        return Ok(listing.objects.associate { chunkOf(it) to it.decoded<ChunkState>().getOrElse { return Err(it) } })
+    }
+
+    private companion object {
+        const val CANCEL_TRIES = 8
+        const val HEADER_TRIES = 4
+    }
+}
--- /dev/null
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/batch/CheckpointDraft.kt
@@ -0,0 +1,17 @@
+package tanagerlane.batch
+
+import tanagerlane.job.ChunkState
+import tanagerlane.job.ItemResult
+import tanagerlane.job.PageName
+
+/** What one checkpoint writes: first the pages, then the state that names them. */
+public data class CheckpointDraft(
+    val state: ChunkState,
+    val pages: List<Page>,
+) {
+    /** A page of results. */
+    public data class Page(
+        val name: PageName,
+        val results: List<ItemResult>,
+    )
+}
--- /dev/null
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/batch/JobKeys.kt
@@ -0,0 +1,68 @@
+package tanagerlane.batch
+
+import tanagerlane.job.PageName
+import tanagerlane.model.JobId
+import tanagerlane.model.WorkspaceName
+import tanagerlane.store.ObjectKey
+
+/**
+ * Keys of the objects that keep one job.
+ *
+ * Headers have a prefix of their own, so that a watch for jobs carries neither items nor results; so have the chunk
+ * states, so that one listing gives a job's progress.
+ */
+public data class JobKeys(
+    val workspace: WorkspaceName,
+    val job: JobId,
+) {
+    private val path: String = "${encoded(workspace.text)}/${encoded(job.text)}"
+
+    /** Key of the header. */
+    public val headerKey: ObjectKey = ObjectKey("$HEADERS$path")
+
+    /** Prefix of the chunk states. */
+    public val statePrefix: String = "jobs/state/$path/"
+
+    /** Returns the key of the items of [chunk] that [upload] wrote. */
+    public fun itemsKey(
+        upload: String,
+        chunk: Int,
+    ): ObjectKey = ObjectKey("jobs/items/$path/${encoded(upload)}/$chunk")
+
+    /** Returns the key of the state of [chunk]. */
+    public fun stateKey(chunk: Int): ObjectKey = ObjectKey("$statePrefix$chunk")
+
+    /** Returns the key of a page of results of [chunk]. */
+    public fun pageKey(
+        chunk: Int,
+        page: PageName,
+    ): ObjectKey = ObjectKey("jobs/results/$path/$chunk/${page.epoch}-${page.sequence}")
+
+    public companion object {
+        /** Prefix of all headers. */
+        public const val HEADERS: String = "jobs/headers/"
+
+        /** Most characters of a workspace's or job's name. */
+        public const val MAXIMUM_NAME_LENGTH: Int = 128
+
+        /** Returns whether [name] can be part of a key. */
+        public fun isName(name: String): Boolean = name.length in 1..MAXIMUM_NAME_LENGTH
+    }
+}
+
+private const val HEXADECIMAL = 16
+private const val BYTE_DIGITS = 2
+
+/** Encodes every byte outside letters, digits and the hyphen as an underscore and two hexadecimal digits. */
+private fun encoded(name: String): String =
+    buildString {
+        for (byte in name.encodeToByteArray()) {
+            val character = byte.toInt().toChar()
+            if (character in 'a'..'z' || character in 'A'..'Z' || character in '0'..'9' || character == '-') {
+                append(character)
+            } else {
+                append('_')
+                append(byte.toUByte().toString(HEXADECIMAL).padStart(BYTE_DIGITS, '0'))
+            }
+        }
+    }
--- /dev/null
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/batch/RendezvousOrder.kt
@@ -0,0 +1,21 @@
+package tanagerlane.batch
+
+private const val MULTIPLIER = -0x61c8864680b583ebL
+private const val FIRST_SHIFT = 30
+private const val SECOND_SHIFT = 27
+
+/** Orders the chunks of [job] in a way that differs between claimants, so that they spread. */
+public fun rendezvousOrder(
+    job: JobKeys,
+    chunks: Iterable<Int>,
+    claimant: Claimant,
+): List<Int> {
+    val seed = "${job.headerKey}|${claimant.owner}".hashCode().toLong()
+    return chunks.sortedBy { mixed(seed + it * MULTIPLIER) }
+}
+
+private fun mixed(value: Long): Long {
+    val first = (value xor (value ushr FIRST_SHIFT)) * MULTIPLIER
+    val second = (first xor (first ushr SECOND_SHIFT)) * MULTIPLIER
+    return second xor (second ushr FIRST_SHIFT)
+}
