--- a/tanagerlane-core/src/main/kotlin/tanagerlane/batch/BatchRules.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/batch/BatchRules.kt
@@ -6,7 +6,7 @@
 /**
  * Limits on claims and attempts.
  *
- * @property itemAttempts times that an item is tried before it is given up
+ * @property itemAttempts times that an item may fail, and times that its holder may be lost, before it is given up
  * @property leaseTerm time that a claim must be seen unchanged before another process takes it over
  * @property checkpointInterval longest time between two checkpoints of a held chunk
  * @property stallTerm time without any progress after which a held chunk is released
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/batch/ChunkClaims.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/batch/ChunkClaims.kt
@@ -64,13 +64,18 @@
 internal fun ChunkState.runsAlone(
     item: Int,
     rules: BatchRules,
-): Boolean = losses.countOf(item) > 0 && attemptsOf(item) + 1 >= rules.itemAttempts
+): Boolean = losses.countOf(item) > 0 && losses.countOf(item) + 1 >= rules.itemAttempts
 
-/** Whether the item may not be tried again. */
+/**
+ * Whether the item may not be tried again.
+ *
+ * Losses and failures count apart, because a loss is charged to every item that may have been running and says
+ * little about any one of them until it ran alone.
+ */
 internal fun ChunkState.isExhausted(
     item: Int,
     rules: BatchRules,
-): Boolean = attemptsOf(item) >= rules.itemAttempts
+): Boolean = losses.countOf(item) >= rules.itemAttempts || failures.countOf(item) >= rules.itemAttempts
 
 /**
  * Returns the items that may run until the next checkpoint, [running] among them.
