Charge requests to rates that all entries share

The entry keeps its slots in the object API, lends and borrows shares over connections among entries, and charges each request before it is offered. A sidecar turns away an offer whose charge may have lapsed, by the age of the nonce that came with it.

--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/EntryDaemon.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/EntryDaemon.kt
@@ -12,16 +12,24 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
 import tanagerlane.attempts.AttemptAction
 import tanagerlane.attempts.AttemptEvent
 import tanagerlane.attempts.AttemptPolicy
 import tanagerlane.inventory.Configuration
+import tanagerlane.limits.FleetLimiter
+import tanagerlane.limits.LimiterSettings
+import tanagerlane.limits.Outgoing
+import tanagerlane.limits.SlotLeases
+import tanagerlane.limits.SlotSettings
 import tanagerlane.membership.Member
 import tanagerlane.message.ChatWork
 import tanagerlane.message.Hello
 import tanagerlane.message.HostRole
 import tanagerlane.message.ServiceWork
+import tanagerlane.message.WireMessage
+import tanagerlane.model.HostName
 import tanagerlane.model.Incarnation
 import tanagerlane.model.RefusalReason
 import tanagerlane.platform.HopTracer
@@ -34,10 +42,12 @@
 import tanagerlane.settings.EntrySettings
 import tanagerlane.store.ObjectStore
 import tanagerlane.store.StoredObject
+import tanagerlane.wire.PeerConnections
 import tanagerlane.wire.WireAddress
 import tanagerlane.wire.WireEndpoint
 import tanagerlane.wire.WireFault
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** The process that callers reach. */
 public class EntryDaemon(
@@ -48,29 +58,41 @@
 ) {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val incarnation = Incarnation(clock.now().toEpochMilliseconds())
+    private val registration = MemberRegistration(store)
     private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     private val tracer = HopTracer(openTelemetryOf(settings.host, "tanagerlane-entry"))
     private val endpoint = WireEndpoint(hello(), scope, now = clock::now)
     private val active = ActiveRequests()
+    private val directory = EntryDirectory(settings.host.name)
+    private val peers = PeerConnections(endpoint, scope, directory::addressOf, ::receive)
     private val links = SidecarLinks(endpoint, scope, active, clock::now) { }
-    private val runner = RequestRunner(links, active, ::pick, AttemptPolicy(), clock::now)
-    private val online = OnlineRoutes(Gate({ state }, { draining }), { _, _ -> null }, runner, tracer, clock::now)
+    private val limiter = FleetLimiter(LimiterSettings(settings.host.name, incarnation, settings.slots))
+    private val rates = RateControl(limiter, ::send, clock::now)
+    private val charging = Charging(rates, links::nonces)
+    private val runner = RequestRunner(links, active, ::pick, charging, AttemptPolicy(), clock::now)
+    private val online = OnlineRoutes(Gate({ state }, { draining }), charging, runner, tracer, clock::now)
     private val callers = CallerServer(vertx, online) { _, _ -> }
     private val operators = OperatorServer(vertx, registry, ready = { !draining }, status = ::status)
 
+    @Volatile
+    private var slots: SlotKeeper? = null
+
     @Volatile
     private var state: EntryState? = null
 
     @Volatile
     private var draining = false
 
+    @Volatile
+    private var member: Member? = null
+
     /** Port for callers, once started. */
     @Volatile
     public var callerPort: Int = 0
         private set
 
-    /** Whether a configuration is in force. */
-    public val isReady: Boolean get() = state != null
+    /** Whether a configuration is in force and some entry holds slots. */
+    public val isReady: Boolean get() = state != null && slots?.isSettled == true
 
     /** Number of targets whose sidecars are connected. */
     public val connectedTargets: Int get() = links.connected().size
@@ -78,7 +100,9 @@
     /** Starts to listen; returns the address for other processes. */
     public suspend fun start(): Result<WireAddress, WireFault> {
         val address = WireAddress(settings.host.address, settings.host.wirePort)
-        return endpoint.listen(address) { }.map { bound ->
+        return endpoint.listen(address, peers::serve).map { bound ->
+            startRates(bound)
+            register(bound)
             scope.launch { PrefixWatcher(store, CONFIGURATION_PREFIX).follow { takeConfiguration(it.values) } }
             scope.launch { PrefixWatcher(store, MemberRegistration.PREFIX).follow { takeMembers(it.values) } }
             operators.start(settings.host.address, settings.host.operatorPort)
@@ -91,6 +115,8 @@
     /** Refuses new requests, answers those that are open, then stops. */
     public suspend fun drainAndStop() {
         draining = true
+        member?.let { registration.remove(it) }
+        withTimeoutOrNull(RELEASE_BOUND) { slots?.release() }
         while (callers.openRequests > 0) {
             delay(DRAIN_INTERVAL)
         }
@@ -106,19 +132,73 @@
         operators.stop()
     }
 
+    private fun startRates(bound: WireAddress) {
+        val slotSettings =
+            SlotSettings(
+                host = settings.host.name,
+                incarnation = incarnation,
+                address = bound.host,
+                wirePort = bound.port,
+                slotCount = settings.slots,
+            )
+        val leases = SlotLeases(slotSettings, settings.host.failureDomain)
+        val keeper =
+            SlotKeeper(
+                settings.host.name,
+                settings.slots,
+                leases,
+                limiter,
+                store,
+                directory::peers,
+                ::send,
+                clock::now,
+            )
+        slots = keeper
+        keeper.start(scope)
+        scope.launch { rates.tickLoop() }
+    }
+
+    private fun register(bound: WireAddress) {
+        val registered =
+            Member(
+                host = settings.host.name,
+                role = HostRole.ENTRY,
+                incarnation = incarnation,
+                failureDomain = settings.host.failureDomain,
+                address = bound.toString(),
+            )
+        member = registered
+        scope.launch { registration.register(registered) }
+    }
+
+    private fun send(outgoing: Outgoing) {
+        peers.send(outgoing.to, outgoing.message)
+    }
+
+    private suspend fun receive(
+        from: HostName,
+        message: WireMessage,
+    ) {
+        rates.receive(from, message)
+        slots?.receive(from, message)
+    }
+
     private fun takeConfiguration(objects: Collection<StoredObject>) {
         val newest =
             objects
                 .mapNotNull { StoredDocuments.decode(Configuration.serializer(), it.value).get() }
                 .maxByOrNull { it.revision.number } ?: return
         if (newest.revision.number > (state?.configuration?.revision?.number ?: 0)) {
+            rates.configure(newest.inventory)
             state = EntryState(newest)
             logger.info("configuration {} in force", newest.revision)
         }
     }
 
     private fun takeMembers(objects: Collection<StoredObject>) {
-        links.update(objects.mapNotNull { StoredDocuments.decode(Member.serializer(), it.value).get() })
+        val members = objects.mapNotNull { StoredDocuments.decode(Member.serializer(), it.value).get() }
+        links.update(members)
+        directory.update(members)
     }
 
     private fun pick(
@@ -130,7 +210,8 @@
                 is ChatWork -> state?.targetsOf(work.model)
                 is ServiceWork -> state?.targetsOf(work.service)
             }.orEmpty()
-        val connected = targets.mapNotNull { target -> links.of(target)?.takeIf { it.incarnation != null } }
+        val usable = targets.filter { it in request.charge.nonces && links.reports[it]?.draining != true }
+        val connected = usable.mapNotNull { target -> links.of(target)?.takeIf { it.incarnation != null } }
         val link = connected.filterNot { it.target in action.tried }.randomOrNull() ?: connected.randomOrNull()
         val incarnation = link?.incarnation ?: return AttemptEvent.NoTarget(RefusalReason.NO_TARGET)
         return AttemptEvent.TargetPicked(link.target, incarnation)
@@ -151,6 +232,7 @@
     private companion object {
         const val CONFIGURATION_PREFIX = "configuration/"
         val DRAIN_INTERVAL = 50.milliseconds
+        val RELEASE_BOUND = 15.seconds
         val logger = LoggerFactory.getLogger(EntryDaemon::class.java)
     }
 }
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/OnlineRequest.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/OnlineRequest.kt
@@ -9,12 +9,14 @@
  * A caller's request after its key was checked; it no longer holds the key.
  *
  * @property workspace null on a route open to all
+ * @property charge proof that the request was charged to a rate
  * @property idempotent whether a second run would do no harm
  * @property traceParent W3C trace context of the entry's span
  */
 internal data class OnlineRequest(
     val id: RequestId,
     val workspace: WorkspaceName?,
+    val charge: Charge,
     val idempotent: Boolean,
     val deadline: Instant,
     val work: Work,
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/OnlineRoutes.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/OnlineRoutes.kt
@@ -12,8 +12,10 @@
 import tanagerlane.caller.ModelDocument
 import tanagerlane.caller.ModelsDocument
 import tanagerlane.inventory.ServiceRoute
+import tanagerlane.message.RouteLimit
 import tanagerlane.message.ServiceWork
 import tanagerlane.message.Work
+import tanagerlane.message.WorkspaceLimit
 import tanagerlane.model.RefusalReason
 import tanagerlane.model.RequestId
 import tanagerlane.model.RunState
@@ -27,12 +29,10 @@
 
 /**
  * Answers online requests.
- *
- * @param admit charges a request to its workspace; returns the refusal when it is over its rate and burst
  */
 internal class OnlineRoutes(
     private val gate: Gate,
-    private val admit: suspend (WorkspaceName, Instant) -> Refusal?,
+    private val charging: Charging,
     private val runner: RequestRunner,
     private val tracer: HopTracer,
     private val now: () -> Instant,
@@ -54,8 +54,9 @@
             val state = gate.passOpen().bind()
             val workspace = gate.workspaceOf(state, exchange).bind()
             val work = state.chatParser.parse(exchange.body).bind()
-            admitted(workspace).bind()
-            requestOf(exchange, state, workspace, work, idempotent = true).bind()
+            val allowed = allowedTime(exchange, state).bind()
+            val charge = charging.charge(WorkspaceLimit(workspace)).bind()
+            requestOf(exchange, allowed, charge, work, idempotent = true)
         }.onOk { run(exchange, it, "chat") }
             .onErr { exchange.refuse(it) }
     }
@@ -70,9 +71,10 @@
             val route = routeOf(state, name, path, exchange.method)
             val workspace = payerOf(route, state, exchange).bind()
             val served = route ?: Err(refusal(RefusalReason.NOT_FOUND)).bind()
-            workspace?.let { admitted(it).bind() }
-            val idempotent = exchange.method in served.repeatable
-            requestOf(exchange, state, workspace, workOf(exchange, name, path), idempotent).bind()
+            val allowed = allowedTime(exchange, state).bind()
+            val key = workspace?.let { WorkspaceLimit(it) } ?: RouteLimit(name, served.prefix)
+            val charge = charging.charge(key).bind()
+            requestOf(exchange, allowed, charge, workOf(exchange, name, path), exchange.method in served.repeatable)
         }.onOk { run(exchange, it, "service") }
             .onErr { exchange.refuse(it) }
     }
@@ -96,11 +98,6 @@
         exchange: CallerExchange,
     ): Result<WorkspaceName?, Refusal> = if (route?.open == true) Ok(null) else gate.workspaceOf(state, exchange)
 
-    private suspend fun admitted(workspace: WorkspaceName): Result<Unit, Refusal> {
-        val refusal = admit(workspace, now())
-        return if (refusal == null) Ok(Unit) else Err(refusal)
-    }
-
     private fun workOf(
         exchange: CallerExchange,
         name: ServiceName,
@@ -116,29 +113,36 @@
 
     private fun requestOf(
         exchange: CallerExchange,
-        state: EntryState,
-        workspace: WorkspaceName?,
+        allowed: Duration,
+        charge: Charge,
         work: Work,
         idempotent: Boolean,
-    ): Result<OnlineRequest, Refusal> {
-        val allowed = allowedTime(exchange) ?: state.rules.onlineDeadline
-        if (allowed <= Duration.ZERO) {
-            return Err(refusal(RefusalReason.DEADLINE_EXCEEDED))
+    ): OnlineRequest =
+        OnlineRequest(
+            id = RequestId(UUID.randomUUID().toString()),
+            workspace = exchange.workspace,
+            charge = charge,
+            idempotent = idempotent,
+            deadline = now() + allowed,
+            work = work,
+            traceParent = exchange.header("traceparent"),
+        )
+
+    private fun allowedTime(
+        exchange: CallerExchange,
+        state: EntryState,
+    ): Result<Duration, Refusal> {
+        val asked = exchange.header(TIMEOUT_HEADER) ?: return Ok(state.rules.onlineDeadline)
+        val milliseconds = asked.toLongOrNull()
+        return when {
+            milliseconds == null -> Err(malformedTimeout(asked))
+            milliseconds <= 0 -> Err(refusal(RefusalReason.DEADLINE_EXCEEDED))
+            else -> Ok(milliseconds.milliseconds)
         }
-        val request =
-            OnlineRequest(
-                id = RequestId(UUID.randomUUID().toString()),
-                workspace = workspace,
-                idempotent = idempotent,
-                deadline = now() + allowed,
-                work = work,
-                traceParent = exchange.header("traceparent"),
-            )
-        return Ok(request)
     }
 
-    private fun allowedTime(exchange: CallerExchange): Duration? =
-        exchange.header(TIMEOUT_HEADER)?.toLongOrNull()?.milliseconds
+    private fun malformedTimeout(text: String) =
+        Refusal(RefusalReason.MALFORMED, RunState.NOT_RUN, "The header $TIMEOUT_HEADER is not a number: $text")
 
     private suspend fun run(
         exchange: CallerExchange,
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/RequestRunner.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/RequestRunner.kt
@@ -1,5 +1,6 @@
 package tanagerlane.entry
 
+import com.github.michaelbull.result.mapBoth
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.withTimeoutOrNull
 import tanagerlane.attempts.AttemptAction
@@ -22,6 +23,7 @@
     private val links: SidecarLinks,
     private val active: ActiveRequests,
     private val pick: (OnlineRequest, AttemptAction.TryNext) -> AttemptEvent,
+    private val charging: Charging,
     private val policy: AttemptPolicy,
     private val now: () -> Instant,
 ) {
@@ -40,24 +42,60 @@
     }
 
     private inner class RequestRun(
-        private val request: OnlineRequest,
+        private var request: OnlineRequest,
         private val events: Channel<AttemptEvent>,
         private val sink: CallerSink,
     ) {
+        private var isSettled = false
+
         private val tracker = AttemptTracker(TrackedRequest(request.id, request.idempotent, request.deadline), policy)
         private var timerAt = request.deadline
 
         suspend fun follow() {
-            tracker.begin().forEach { perform(it) }
-            while (tracker.state != AttemptState.DONE && tracker.state != AttemptState.REFUSED) {
-                val event = withTimeoutOrNull(timerAt - now()) { events.receive() } ?: AttemptEvent.TimerFired
-                tracker.handle(event, now()).forEach { perform(it) }
+            try {
+                tracker.begin().forEach { perform(it) }
+                while (tracker.state != AttemptState.DONE && tracker.state != AttemptState.REFUSED) {
+                    val event = withTimeoutOrNull(timerAt - now()) { events.receive() } ?: AttemptEvent.TimerFired
+                    take(event)
+                }
+            } finally {
+                settle()
+            }
+        }
+
+        private suspend fun take(event: AttemptEvent) {
+            if (event is AttemptEvent.Received) {
+                settle()
             }
+            tracker.handle(event, now()).forEach { perform(it) }
+        }
+
+        private fun settle() {
+            if (!isSettled) {
+                isSettled = true
+                charging.settle(request.charge)
+            }
+        }
+
+        /** Picks the next target; a request whose charge has lapsed is charged anew first. */
+        private suspend fun next(action: AttemptAction.TryNext): AttemptEvent {
+            if (now() < request.charge.permit.validUntil) {
+                return pick(request, action)
+            }
+            settle()
+            return charging.charge(request.charge.key).mapBoth(
+                success = { charge ->
+                    request = request.copy(charge = charge)
+                    isSettled = false
+                    pick(request, action)
+                },
+                failure = { AttemptEvent.NoTarget(it.reason) },
+            )
         }
 
         private suspend fun perform(action: AttemptAction) {
             when (action) {
-                is AttemptAction.TryNext -> events.send(pick(request, action))
+                is AttemptAction.TryNext -> events.send(next(action))
                 is AttemptAction.SendOffer -> sendOffer(action)
                 is AttemptAction.SendResolve -> links.of(action.target)?.send(action.resolve)
                 is AttemptAction.SendCancel -> links.of(action.target)?.send(action.cancel)
@@ -95,6 +133,7 @@
                 work = request.work,
                 expectedIncarnation = action.expectedIncarnation,
                 traceParent = request.traceParent,
+                admission = request.charge.nonces[action.target],
             )
 
         private fun refusalOf(action: AttemptAction.Refuse): Refusal =
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/SidecarLinks.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/SidecarLinks.kt
@@ -4,6 +4,7 @@
 import tanagerlane.attempts.AttemptEvent
 import tanagerlane.membership.Member
 import tanagerlane.message.LoadReport
+import tanagerlane.message.Nonce
 import tanagerlane.message.WireMessage
 import tanagerlane.model.TargetName
 import tanagerlane.wire.WireEndpoint
@@ -24,9 +25,20 @@
 ) {
     private val links = ConcurrentHashMap<TargetName, MemberLink>()
 
+    /** The last report of load from each sidecar. */
+    @Volatile
+    var reports: Map<TargetName, LoadReport> = emptyMap()
+        private set
+
     /** The link to [target], or null when its sidecar isn't registered. */
     fun of(target: TargetName): SidecarLink? = links[target]?.link
 
+    /** Last nonce that each sidecar has sent. */
+    fun nonces(): Map<TargetName, Nonce> =
+        buildMap {
+            reports.forEach { (target, report) -> report.admission?.let { put(target, it) } }
+        }
+
     /** Targets whose sidecars are connected. */
     fun connected(): List<TargetName> = links.values.filter { it.link.incarnation != null }.map { it.link.target }
 
@@ -57,6 +69,7 @@
     private fun receive(event: AttemptEvent) {
         val message: WireMessage? = (event as? AttemptEvent.Received)?.message
         if (message is LoadReport) {
+            synchronized(this) { reports = reports + (message.target to message) }
             onLoad(message)
         } else {
             active.deliver(event)
--- a/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/AttemptServer.kt
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/AttemptServer.kt
@@ -12,12 +12,15 @@
 import tanagerlane.attempts.OfferSource
 import tanagerlane.attempts.SessionId
 import tanagerlane.attempts.StartDecision
+import tanagerlane.limits.ArrivalGuard
 import tanagerlane.message.AnswerHead
 import tanagerlane.message.Cancel
+import tanagerlane.message.NotRun
 import tanagerlane.message.Offer
 import tanagerlane.message.Resolve
 import tanagerlane.message.WireMessage
 import tanagerlane.model.AttemptId
+import tanagerlane.model.RefusalReason
 import tanagerlane.wire.WireConnection
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration.Companion.seconds
@@ -27,12 +30,15 @@
  * Serves the attempts that entries offer.
  *
  * @param run calls the target for one attempt and reports to the sink; its cancellation stops the call
+ * @param greet first message on each connection
  * @param handleOther takes messages that are not about attempts
  */
 internal class AttemptServer(
     private val table: AttemptTable,
+    private val guard: ArrivalGuard,
     private val scope: CoroutineScope,
     private val run: suspend (Offer, AnswerSink) -> Unit,
+    private val greet: () -> WireMessage,
     private val handleOther: suspend (WireConnection, WireMessage) -> Unit,
     private val now: () -> Instant,
 ) {
@@ -45,6 +51,7 @@
     /** Serves [connection] until it ends. */
     suspend fun serve(connection: WireConnection) {
         connections[connection.session] = connection
+        connection.send(greet())
         try {
             for (message in connection.incoming) {
                 receive(connection, message)
@@ -84,6 +91,11 @@
         connection: WireConnection,
         offer: Offer,
     ) {
+        val admission = offer.admission
+        if (admission != null && !guard.isTimely(admission, now())) {
+            connection.send(NotRun(offer.attempt, RefusalReason.OVERLOADED))
+            return
+        }
         val source = OfferSource(session = connection.session, freshAt = connection.freshAt)
         val decision = table.offer(offer, source, now())
         decision.replies.forEach { connection.send(it) }
--- a/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/SidecarDaemon.kt
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/SidecarDaemon.kt
@@ -13,6 +13,8 @@
 import kotlinx.coroutines.launch
 import org.slf4j.LoggerFactory
 import tanagerlane.attempts.AttemptTable
+import tanagerlane.limits.ArrivalGuard
+import tanagerlane.limits.LimitTimes
 import tanagerlane.membership.Member
 import tanagerlane.message.Hello
 import tanagerlane.message.HostRole
@@ -27,7 +29,6 @@
 import tanagerlane.wire.WireEndpoint
 import tanagerlane.wire.WireFault
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /** The process beside one target: the only way to it. */
 public class SidecarDaemon(
@@ -43,7 +44,8 @@
     private val client = TargetClient(vertx, settings.targetUrl)
     private val endpoint = WireEndpoint(hello(), scope, now = clock::now)
     private val registration = MemberRegistration(store)
-    private val attempts = AttemptServer(table, scope, client::run, { _, _ -> }, clock::now)
+    private val guard = ArrivalGuard(incarnation, LimitTimes().permitValidity)
+    private val attempts = AttemptServer(table, guard, scope, client::run, ::loadReport, { _, _ -> }, clock::now)
     private val operators = OperatorServer(vertx, registry, ready = { !draining }, status = ::status)
 
     @Volatile
@@ -111,6 +113,7 @@
             onlineRunning = attempts.running,
             window = DEFAULT_WINDOW,
             draining = draining,
+            admission = guard.nonce(clock.now()),
         )
 
     private fun hello(): Hello =
@@ -127,7 +130,7 @@
 
     private companion object {
         const val DEFAULT_WINDOW = 16
-        val REPORT_INTERVAL = 1.seconds
+        val REPORT_INTERVAL = 500.milliseconds
         val DRAIN_INTERVAL = 50.milliseconds
         val logger = LoggerFactory.getLogger(SidecarDaemon::class.java)
     }
