--- a/tanagerlane-batch/src/test/kotlin/tanagerlane/jobs/JobBench.kt
+++ b/tanagerlane-batch/src/test/kotlin/tanagerlane/jobs/JobBench.kt
@@ -1,7 +1,9 @@
 package tanagerlane.jobs
 
+import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.getOrThrow
+import com.github.michaelbull.result.map
 import io.kotest.assertions.withClue
 import io.kotest.matchers.shouldBe
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry
@@ -119,6 +121,12 @@
         throw AssertionError("job $job did not end within $limit: ${jobs.status(WORKSPACE, job)}")
     }
 
+    /** Waits for the end of the job without a call of the object API. */
+    suspend fun awaitPhaseEnd() {
+        delay(SETTLING_TIME)
+        jobs.status(WORKSPACE, JOB).map { it.header.phase } shouldBe Ok(JobPhase.FINISHED)
+    }
+
     suspend fun readResults(job: JobId = JOB) {
         val read = HashMap<Int, ItemResult>()
         var cursor: ResultCursor? = ResultCursor.START
@@ -171,6 +179,7 @@
         val MODEL = ModelName("wording")
         const val KILLER = "killer"
         const val POISONED = "poisoned"
+        private val SETTLING_TIME = 60.seconds
         private val LOOK_INTERVAL = 10.seconds
 
         fun lineOf(customId: String): Payload = Payload.of(jsonLineOf(customId))
