--- a/tanagerlane-cli/src/test/kotlin/tanagerlane/cli/demo/LocalDeploymentTest.kt
+++ b/tanagerlane-cli/src/test/kotlin/tanagerlane/cli/demo/LocalDeploymentTest.kt
@@ -5,6 +5,7 @@
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
 import io.vertx.core.Vertx
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
 import tanagerlane.configuration.SettingsReader
@@ -22,6 +23,7 @@
 import java.nio.file.Path
 import java.security.MessageDigest
 import java.util.HexFormat
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 class LocalDeploymentTest :
@@ -45,20 +47,27 @@
         }
         afterSpec { deployment.stop() }
 
-        fun post(
+        fun send(
+            method: String,
             path: String,
-            body: String,
+            body: String = "",
             key: String = "tl-test",
         ): HttpResponse<String> =
             client.send(
                 HttpRequest
                     .newBuilder(URI(deployment.baseUrl(0) + path))
                     .header("authorization", "Bearer $key")
-                    .POST(HttpRequest.BodyPublishers.ofString(body))
+                    .method(method, HttpRequest.BodyPublishers.ofString(body))
                     .build(),
                 HttpResponse.BodyHandlers.ofString(),
             )
 
+        fun post(
+            path: String,
+            body: String,
+            key: String = "tl-test",
+        ): HttpResponse<String> = send("POST", path, body, key)
+
         test("a chat completion comes back whole") {
             val answer =
                 post(
@@ -78,6 +87,32 @@
             answer.body().trim().endsWith("data: [DONE]") shouldBe true
         }
 
+        test("a job ends with one result for each item") {
+            val items =
+                (1..40).joinToString("\n") {
+                    """{"custom_id":"item-$it","method":"POST","url":"/v1/chat/completions",""" +
+                        """"body":{"model":"finding-models","messages":[{"role":"user","content":"$it"}],"max_tokens":4}}"""
+                }
+            send("PUT", "/v1/jobs/night?due=2030-01-01T00:00:00Z", items).statusCode() shouldBe 202
+            withTimeout(60.seconds) {
+                while ("finished" !in send("GET", "/v1/jobs/night").body()) {
+                    delay(100.milliseconds)
+                }
+            }
+            val lines = ArrayList<String>()
+            var cursor: String? = "0-0"
+            while (cursor != null) {
+                val page = send("GET", "/v1/jobs/night/results?cursor=$cursor")
+                lines += page.body().trim().lines()
+                cursor = page.headers().firstValue("x-next-cursor").orElse(null)
+            }
+            lines.map { it.substringAfter("item-").substringBefore('"').toInt() }.sorted() shouldBe (1..40).toList()
+        }
+
+        test("a service is called") {
+            send("GET", "/services/log-store/logs/7").body() shouldContain "/logs/7"
+        }
+
         test("a request without a valid key is refused") {
             post("/v1/chat/completions", "{}", key = "tl-other").statusCode() shouldBe 401
         }
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/CallerExchange.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/CallerExchange.kt
@@ -73,6 +73,18 @@
         }
     }
 
+    /** Sends [lines] as JSON lines; [next] is the cursor of the page after them. */
+    suspend fun sendLines(
+        lines: List<String>,
+        next: String?,
+    ) {
+        val response = context.response().putHeader("content-type", "application/jsonl")
+        next?.let { response.putHeader("x-next-cursor", it) }
+        if (!response.closed()) {
+            response.end(lines.joinToString("") { "$it\n" }).coAwait()
+        }
+    }
+
     /** Sink that writes the answer of a target to the caller as it comes. */
     fun sink(): CallerSink =
         CallerSink(
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/CallerServer.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/CallerServer.kt
@@ -12,6 +12,7 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.launch
 import org.slf4j.LoggerFactory
+import tanagerlane.model.JobId
 import tanagerlane.model.RefusalReason
 import tanagerlane.model.RunState
 import tanagerlane.model.ServiceName
@@ -27,6 +28,7 @@
 internal class CallerServer(
     private val vertx: Vertx,
     private val online: OnlineRoutes,
+    private val jobs: JobRoutes,
     private val record: suspend (WorkspaceName?, Refusal) -> Unit,
 ) {
     private val scope = CoroutineScope(SupervisorJob())
@@ -59,15 +61,27 @@
 
     private fun router(): Router {
         val router = Router.router(vertx)
+        router.put("/v1/jobs/:job").handler(::submitJob)
         router.route().handler(BodyHandler.create(false).setBodyLimit(MAXIMUM_BODY_BYTES))
         router.get("/v1/models").handler { answer(it, online::models) }
         router.post("/v1/chat/completions").handler { answer(it, online::chat) }
+        router.get("/v1/jobs/:job").handler { context -> answer(context) { jobs.status(it, jobOf(context)) } }
+        router.get("/v1/jobs/:job/results").handler { context -> answer(context) { jobs.results(it, jobOf(context)) } }
+        router.post("/v1/jobs/:job/cancel").handler { context -> answer(context) { jobs.cancel(it, jobOf(context)) } }
         router.route("/services/:service/*").handler { context -> answer(context) { service(context, it) } }
         router.route().handler { context -> answer(context) { it.refuse(refusal(RefusalReason.NOT_FOUND)) } }
         router.route().failureHandler { context -> answer(context) { it.refuse(refusal(reasonOf(context))) } }
         return router
     }
 
+    /** Reads the body while it comes, so that a large job never stands in memory as a whole. */
+    private fun submitJob(context: RoutingContext) {
+        context.request().pause()
+        answer(context) { jobs.submit(it, jobOf(context), bodyLines(context.request(), vertx)) }
+    }
+
+    private fun jobOf(context: RoutingContext): JobId = JobId(context.pathParam("job").orEmpty())
+
     private suspend fun service(
         context: RoutingContext,
         exchange: CallerExchange,
@@ -98,7 +112,7 @@
     private fun refusal(reason: RefusalReason) = Refusal(reason, RunState.NOT_RUN, reason.explanation)
 
     private companion object {
-        const val MAXIMUM_BODY_BYTES = 64L shl 20
+        const val MAXIMUM_BODY_BYTES = 1L shl 20
         const val TOO_LARGE = 413
         val logger = LoggerFactory.getLogger(CallerServer::class.java)
     }
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/EntryDaemon.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/EntryDaemon.kt
@@ -18,6 +18,7 @@
 import tanagerlane.attempts.AttemptEvent
 import tanagerlane.attempts.AttemptPolicy
 import tanagerlane.inventory.Configuration
+import tanagerlane.jobs.JobStore
 import tanagerlane.limits.FleetLimiter
 import tanagerlane.limits.LimiterSettings
 import tanagerlane.limits.Outgoing
@@ -46,6 +47,8 @@
 import tanagerlane.wire.WireAddress
 import tanagerlane.wire.WireEndpoint
 import tanagerlane.wire.WireFault
+import java.util.UUID
+import kotlin.time.Clock
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -70,8 +73,10 @@
     private val rates = RateControl(limiter, ::send, clock::now)
     private val charging = Charging(rates, links::nonces)
     private val runner = RequestRunner(links, active, ::pick, charging, AttemptPolicy(), clock::now)
-    private val online = OnlineRoutes(Gate({ state }, { draining }), charging, runner, tracer, clock::now)
-    private val callers = CallerServer(vertx, online) { _, _ -> }
+    private val gate = Gate({ state }, { draining })
+    private val online = OnlineRoutes(gate, charging, runner, tracer, clock::now)
+    private val jobs = JobRoutes(gate, JobStore(store, newUpload = { UUID.randomUUID().toString() }), Clock.System::now)
+    private val callers = CallerServer(vertx, online, jobs) { _, _ -> }
     private val operators = OperatorServer(vertx, registry, ready = { !draining }, status = ::status)
 
     @Volatile
--- /dev/null
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/JobRefusal.kt
@@ -0,0 +1,66 @@
+package tanagerlane.entry
+
+import tanagerlane.jobs.JobError
+import tanagerlane.model.RefusalReason
+import tanagerlane.model.RunState
+
+/** The refusal by which a caller hears of [error]. */
+internal fun jobRefusalOf(error: JobError): Refusal =
+    when (error) {
+        is JobError.NotFound -> {
+            refusal(RefusalReason.NOT_FOUND, "There is no job ${error.job}.")
+        }
+
+        is JobError.InvalidName -> {
+            refusal(RefusalReason.MALFORMED, "The name ${error.name} is empty or too long.")
+        }
+
+        is JobError.ContentConflict -> {
+            refusal(RefusalReason.CONFLICT, "The job ${error.job} exists with other items.")
+        }
+
+        is JobError.Empty -> {
+            refusal(RefusalReason.MALFORMED, "The job has no items.")
+        }
+
+        is JobError.InvalidItem -> {
+            refusal(RefusalReason.MALFORMED, "The item in line ${error.line + 1} is not acceptable: ${error.fault}.")
+        }
+
+        is JobError.DuplicateCustomId -> {
+            refusal(RefusalReason.MALFORMED, "Line ${error.line + 1} repeats the custom_id ${error.customId}.")
+        }
+
+        is JobError.TooManyItems -> {
+            refusal(RefusalReason.TOO_LARGE, "The job has more than ${error.maximumItems} items.")
+        }
+
+        is JobError.TooManyModels -> {
+            refusal(RefusalReason.TOO_LARGE, "The items name more than ${error.maximumModels} models.")
+        }
+
+        is JobError.AlreadyEnded -> {
+            refusal(RefusalReason.CONFLICT, "The job has ended: ${error.phase.name.lowercase()}.")
+        }
+
+        is JobError.StoreUnavailable -> {
+            refusal(RefusalReason.STORE_UNAVAILABLE, RefusalReason.STORE_UNAVAILABLE.explanation)
+        }
+
+        is JobError.Unsettled -> {
+            Refusal(
+                RefusalReason.STORE_UNAVAILABLE,
+                RunState.UNKNOWN,
+                "The call may have taken effect; sending it again settles it.",
+            )
+        }
+
+        is JobError.Unreadable -> {
+            refusal(RefusalReason.STORE_UNAVAILABLE, "The stored object ${error.key} can't be read.")
+        }
+    }
+
+private fun refusal(
+    reason: RefusalReason,
+    explanation: String,
+): Refusal = Refusal(reason, RunState.NOT_RUN, explanation)
--- /dev/null
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/JobResultLine.kt
@@ -0,0 +1,44 @@
+package tanagerlane.entry
+
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonNull
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import tanagerlane.job.ItemResult
+import tanagerlane.model.Payload
+
+/** One line of a job's results, in the form of the batch files of the chat completion API. */
+internal fun resultLine(result: ItemResult): String =
+    buildJsonObject {
+        put("custom_id", result.customId)
+        put("response", responseOf(result))
+        put("error", errorOf(result))
+    }.toString()
+
+private fun responseOf(result: ItemResult): JsonElement {
+    if (result.failure != null) {
+        return JsonNull
+    }
+    return buildJsonObject {
+        put("status_code", result.statusCode)
+        put("body", jsonOrText(result.body))
+    }
+}
+
+private fun errorOf(result: ItemResult): JsonElement {
+    val failure = result.failure ?: return JsonNull
+    return buildJsonObject {
+        put("code", failure.name.lowercase())
+        result.reason?.let { put("reason", it.name.lowercase()) }
+    }
+}
+
+private fun jsonOrText(body: Payload): JsonElement =
+    try {
+        Json.parseToJsonElement(body.toText())
+    } catch (_: SerializationException) {
+        JsonPrimitive(body.toText())
+    }
--- a/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/SidecarDaemon.kt
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/SidecarDaemon.kt
@@ -1,6 +1,7 @@
 package tanagerlane.sidecar
 
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.get
 import com.github.michaelbull.result.map
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
@@ -13,6 +14,13 @@
 import kotlinx.coroutines.launch
 import org.slf4j.LoggerFactory
 import tanagerlane.attempts.AttemptTable
+import tanagerlane.batch.BatchRules
+import tanagerlane.batch.Claimant
+import tanagerlane.inventory.Configuration
+import tanagerlane.inventory.Inventory
+import tanagerlane.inventory.Target
+import tanagerlane.jobs.BatchTarget
+import tanagerlane.jobs.BatchWorker
 import tanagerlane.limits.ArrivalGuard
 import tanagerlane.limits.LimitTimes
 import tanagerlane.membership.Member
@@ -20,15 +28,21 @@
 import tanagerlane.message.HostRole
 import tanagerlane.message.LoadReport
 import tanagerlane.model.Incarnation
+import tanagerlane.model.ModelName
+import tanagerlane.model.WorkspaceName
 import tanagerlane.platform.MemberRegistration
 import tanagerlane.platform.MonotonicClock
 import tanagerlane.platform.OperatorServer
+import tanagerlane.platform.PrefixWatcher
+import tanagerlane.platform.StoredDocuments
 import tanagerlane.settings.SidecarSettings
 import tanagerlane.store.ObjectStore
+import tanagerlane.store.StoredObject
 import tanagerlane.wire.WireAddress
 import tanagerlane.wire.WireEndpoint
 import tanagerlane.wire.WireFault
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** The process beside one target: the only way to it. */
 public class SidecarDaemon(
@@ -46,8 +60,23 @@
     private val registration = MemberRegistration(store)
     private val guard = ArrivalGuard(incarnation, LimitTimes().permitValidity)
     private val attempts = AttemptServer(table, guard, scope, client::run, ::loadReport, { _, _ -> }, clock::now)
+    private val items = ItemRunner(client::run, maximumTokens = { maximumTokensOf(it.model) })
+    private val batch =
+        BatchWorker(
+            scope = scope,
+            store = store,
+            claimant = Claimant(settings.host.name, incarnation),
+            rules = BatchRules(pause = 1.seconds),
+            target = BatchTarget(::servedModels, ::idleCapacity, items::run),
+            registry = registry,
+            weightOf = ::weightOf,
+            now = clock::now,
+        )
     private val operators = OperatorServer(vertx, registry, ready = { !draining }, status = ::status)
 
+    @Volatile
+    private var inventory: Inventory? = null
+
     @Volatile
     private var draining = false
 
@@ -61,6 +90,8 @@
             operators.start(settings.host.address, settings.host.operatorPort)
             scope.launch { attempts.expireLoop() }
             scope.launch { reportLoop() }
+            scope.launch { PrefixWatcher(store, CONFIGURATION_PREFIX).follow { takeConfiguration(it.values) } }
+            batch.start()
             register(bound)
             logger.info("sidecar of {} listens on {}", settings.target, bound)
             bound
@@ -72,6 +103,7 @@
         draining = true
         attempts.broadcast(loadReport())
         member?.let { registration.remove(it) }
+        batch.stop(BATCH_DRAIN)
         while (attempts.running > 0) {
             delay(DRAIN_INTERVAL)
         }
@@ -85,6 +117,30 @@
         operators.stop()
     }
 
+    private fun takeConfiguration(objects: Collection<StoredObject>) {
+        val newest =
+            objects
+                .mapNotNull { StoredDocuments.decode(Configuration.serializer(), it.value).get() }
+                .maxByOrNull { it.revision.number } ?: return
+        inventory = newest.inventory
+        logger.info("configuration {} in force", newest.revision)
+    }
+
+    private fun targetOrNull(): Target? = inventory?.targets?.find { it.name == settings.target }
+
+    private fun servedModels(): Set<ModelName> = targetOrNull()?.models.orEmpty().toSet()
+
+    private fun idleCapacity(): Int {
+        val window = targetOrNull()?.window ?: 0
+        return (window - attempts.running).coerceAtLeast(0)
+    }
+
+    private fun weightOf(workspace: WorkspaceName): Int =
+        inventory?.workspaces?.find { it.name == workspace }?.weight ?: 1
+
+    private fun maximumTokensOf(model: ModelName): Int =
+        inventory?.models?.find { it.name == model }?.maximumTokens ?: 1
+
     private fun register(bound: WireAddress) {
         val registered =
             Member(
@@ -129,7 +185,9 @@
         """{"role":"sidecar","host":"${settings.host.name}","target":"${settings.target}","running":${attempts.running}}"""
 
     private companion object {
+        const val CONFIGURATION_PREFIX = "configuration/"
         const val DEFAULT_WINDOW = 16
+        val BATCH_DRAIN = 5.seconds
         val REPORT_INTERVAL = 500.milliseconds
         val DRAIN_INTERVAL = 50.milliseconds
         val logger = LoggerFactory.getLogger(SidecarDaemon::class.java)
