--- /dev/null
+++ b/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/daemon/DaemonRuntime.kt
@@ -0,0 +1,48 @@
+package tanagerlane.cli.daemon
+
+import com.github.ajalt.clikt.core.PrintMessage
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+import io.vertx.core.Vertx
+import io.vertx.core.VertxOptions
+import kotlinx.coroutines.runBlocking
+import tanagerlane.configuration.SettingsFault
+import java.nio.file.Path
+import java.util.concurrent.CountDownLatch
+import kotlin.concurrent.thread
+import kotlin.io.path.readText
+
+/** Vert.x with few threads, for a process that shares its host. */
+internal fun smallVertx(): Vertx =
+    Vertx.vertx(
+        VertxOptions()
+            .setEventLoopPoolSize(1)
+            .setWorkerPoolSize(2)
+            .setInternalBlockingPoolSize(2),
+    )
+
+/** Reads the settings in [file] by [read]; every fault is shown in a line of its own. */
+internal fun <T> settingsOf(
+    file: Path,
+    read: (String, String) -> Result<T, List<SettingsFault>>,
+): T =
+    read(file.toString(), file.readText()).getOrElse { faults ->
+        val lines = faults.joinToString("\n") { "${it.location}: ${it.reason}" }
+        throw PrintMessage(lines, statusCode = 1, printError = true)
+    }
+
+/** Waits until the process is asked to end, then calls [drain] before it does. */
+internal fun runUntilStopped(drain: suspend () -> Unit) {
+    val stopped = CountDownLatch(1)
+    val hook =
+        thread(start = false, name = "drain") {
+            runBlocking { drain() }
+            stopped.countDown()
+        }
+    Runtime.getRuntime().addShutdownHook(hook)
+    stopped.await()
+}
+
+/** Ends the command with the reason why a daemon did not start. */
+internal fun startFailure(fault: Any): Nothing =
+    throw PrintMessage("tanagerlane: could not start: $fault", statusCode = 1, printError = true)
