Close three ways in which tokens were counted twice

Causes mended: - a successor that restarted promised a slot that a write of its earlier incarnation had taken over; promises are now for each slot and given only while the store is not seen to name another holder, and a claim is counted only after the promise has ended; - a loan renewed after its term ran out at the pool was deposited again; - tokens lent to a pool's host were deposited again after it restarted.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/limits/FleetLimiter.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/limits/FleetLimiter.kt
@@ -191,7 +191,7 @@
     ) {
         val lendable = slots.filter { now + settings.times.reclaimAfter < it.validUntil }.map { it.number }
         val keys = if (lendable.isEmpty()) emptyList() else call.keys
-        val loans = keys.mapNotNull { key -> shardOf(key).withKey(key) { lend(from, now) } }
+        val loans = keys.mapNotNull { key -> shardOf(key).withKey(key) { lend(from, call.nonce.incarnation, now) } }
         outbox.send(from, Loans(call.nonce, settings.incarnation, lendable, loans))
     }
 
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/limits/KeyLimiter.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/limits/KeyLimiter.kt
@@ -7,6 +7,7 @@
 import tanagerlane.message.Loans
 import tanagerlane.message.TokenId
 import tanagerlane.model.HostName
+import tanagerlane.model.Incarnation
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
@@ -93,18 +94,24 @@
         }
     }
 
-    /** Lends this entry's share to [host] or renews the loan; null where it is not to be lent to that host. */
+    /**
+     * Lends this entry's share to [host] or renews the loan; null where it is not to be lent to that host.
+     *
+     * A loan to an earlier incarnation of the host runs out first, as its tokens may have been spent.
+     */
     fun lend(
         host: HostName,
+        incarnation: Incarnation,
         now: Instant,
     ): Loan? {
         advance(now)
         val current = ownLoan
-        val isOtherwiseUsed = if (current == null) pool != null else current.to != host
+        val isOtherwiseUsed =
+            if (current == null) pool != null else current.to != host || current.incarnation != incarnation
         if (poolHost != host || isOtherwiseUsed) {
             return null
         }
-        val loan = current ?: beginLoan(host, now)
+        val loan = current ?: beginLoan(host, incarnation, now)
         val renewed = loan.copy(endsAt = now + times.reclaimAfter)
         ownLoan = renewed
         return renewed.toMessage(key)
@@ -156,7 +163,7 @@
         val loan = checkNotNull(loans.remove(lender)) { "no loan of $lender" }
         callsAcceptedAfter = maxOf(now, pool?.calledAt ?: now)
         val tokens = bucket.withdraw(bucket.level + bucket.outstanding.size - rest.capacity)
-        outbox.send(lender, LoanReturn(key, loan.lender, loan.generation, tokens))
+        outbox.send(lender, LoanReturn(key, loan.id.lender, loan.id.generation, tokens))
     }
 
     /** Counts the share here again that its pool gave back. */
@@ -249,11 +256,13 @@
 
     private fun beginLoan(
         host: HostName,
+        incarnation: Incarnation,
         now: Instant,
     ): OwnLoan {
         generation += 1
         return OwnLoan(
             to = host,
+            incarnation = incarnation,
             generation = generation,
             tokens = bucket.withdraw(bucket.level),
             outstanding = bucket.outstanding.toList(),
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/limits/PoolLoans.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/limits/PoolLoans.kt
@@ -12,6 +12,7 @@
     private val loanTerm: Duration,
 ) {
     private val held = LinkedHashMap<HostName, HeldLoan>()
+    private val deposited = HashMap<HostName, LoanId>()
 
     val lenders: Set<HostName>
         get() = held.keys.toSet()
@@ -36,8 +37,9 @@
         if (endsAt <= now || (old != null && old.isAfter(message, loan))) {
             return null
         }
-        held[from] = HeldLoan(message.lender, loan.generation, message.slots.toSet(), message.nonce.sentAt, endsAt)
-        return if (old?.isSameLoan(message, loan) == true) LoanAcceptance.RENEWED else LoanAcceptance.FIRST
+        val id = LoanId(message.lender, loan.generation)
+        held[from] = HeldLoan(id, message.slots.toSet(), message.nonce.sentAt, endsAt)
+        return if (deposited.put(from, id) == id) LoanAcceptance.RENEWED else LoanAcceptance.FIRST
     }
 
     /** Stops counting the loan of [lender]. */
@@ -48,35 +50,31 @@
         held.filterKeys { it != lender }.values.flatMapTo(LinkedHashSet()) { it.slots }
 
     internal enum class LoanAcceptance {
-        /** Its tokens must be deposited. */
+        /** Its tokens must be deposited; a loan whose term ran out before it was renewed is not counted as new. */
         FIRST,
 
         /** Its tokens were deposited before. */
         RENEWED,
     }
 
-    internal data class HeldLoan(
+    internal data class LoanId(
         val lender: Incarnation,
         val generation: Long,
+    )
+
+    internal data class HeldLoan(
+        val id: LoanId,
         val slots: Set<Int>,
         val calledAt: Instant,
         val endsAt: Instant,
     ) {
-        fun isSameLoan(
-            message: Loans,
-            loan: Loan,
-        ): Boolean = lender == message.lender && generation == loan.generation
-
+        /** Whether this loan overtook [loan] on the way. */
         fun isAfter(
             message: Loans,
             loan: Loan,
-        ): Boolean =
-            compareValuesBy(
-                this,
-                HeldLoan(message.lender, loan.generation, slots, message.nonce.sentAt, endsAt),
-                { it.lender.number },
-                { it.generation },
-                { it.calledAt },
-            ) >= 0
+        ): Boolean {
+            val other = HeldLoan(LoanId(message.lender, loan.generation), slots, message.nonce.sentAt, endsAt)
+            return compareValuesBy(this, other, { it.id.lender.number }, { it.id.generation }, { it.calledAt }) >= 0
+        }
     }
 }
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/limits/SlotLeases.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/limits/SlotLeases.kt
@@ -35,8 +35,6 @@
     private val lock = ReentrantLock()
     private val times = settings.times
     private val slots = List(settings.slotCount) { SlotState(it, settings) }
-    private val promisesReceived = HashMap<HostName, Instant>()
-    private val promisesGiven = HashMap<HostName, Instant>()
     private var heartbeatSentAt = Instant.DISTANT_PAST
     private var isStopping = false
 
@@ -66,7 +64,7 @@
         result: Result<ObjectVersion, StoreFailure>,
         now: Instant,
     ) {
-        lock.withLock { slots[write.slot].conclude(write, result, promisesReceived, now) }
+        lock.withLock { slots[write.slot].conclude(write, result, now) }
     }
 
     /** Returns the slots whose shares this entry may count; ask again well within [SlotTimes.useTerm]. */
@@ -100,8 +98,9 @@
                 return emptyList()
             }
             heartbeatSentAt = now
-            val successors = slots.filter { it.lease != null }.flatMap { it.possibleSuccessors }.toSet()
-            successors.map { Outgoing(it, SlotHeartbeat(Nonce(settings.incarnation, now))) }
+            val valid = slots.filter { state -> state.lease?.let { now < it.validUntil } ?: false }
+            val successors = valid.flatMap { it.possibleSuccessors }.toSet()
+            successors.map { successor -> Outgoing(successor, heartbeat(valid, successor, now)) }
         }
 
     /** Handles a heartbeat or a promise of the entry [from]; other types of messages are ignored. */
@@ -112,35 +111,41 @@
     ): List<Outgoing> =
         lock.withLock {
             when (message) {
-                is SlotHeartbeat -> promise(from, message.nonce, now)
-                is SlotPromise -> emptyList<Outgoing>().also { accept(from, message.nonce, now) }
+                is SlotHeartbeat -> listOf(Outgoing(from, promise(from, message, now)))
+                is SlotPromise -> emptyList<Outgoing>().also { accept(from, message, now) }
                 else -> emptyList()
             }
         }
 
+    private fun heartbeat(
+        valid: List<SlotState>,
+        successor: HostName,
+        now: Instant,
+    ): SlotHeartbeat {
+        val concerned = valid.filter { successor in it.possibleSuccessors }.map { it.number }
+        return SlotHeartbeat(Nonce(settings.incarnation, now), concerned)
+    }
+
     private fun promise(
         to: HostName,
-        nonce: Nonce,
+        heartbeat: SlotHeartbeat,
         now: Instant,
-    ): List<Outgoing> {
-        if (slots.any { it.isClaiming && it.value?.holder == to }) {
-            return emptyList()
-        }
-        promisesGiven[to] = now + times.promiseTerm + times.margin
-        return listOf(Outgoing(to, SlotPromise(nonce)))
+    ): SlotPromise {
+        val until = now + times.promiseTerm + times.margin
+        val promised = heartbeat.slots.filter { slots.getOrNull(it)?.promise(to, until) ?: false }
+        return SlotPromise(heartbeat.nonce, promised)
     }
 
     private fun accept(
         from: HostName,
-        nonce: Nonce,
+        promise: SlotPromise,
         now: Instant,
     ) {
-        if (nonce.incarnation != settings.incarnation) {
+        if (promise.nonce.incarnation != settings.incarnation) {
             return
         }
-        val until = nonce.sentAt + times.promiseTerm
-        promisesReceived.merge(from, until) { old, new -> maxOf(old, new) }
-        slots.forEach { it.extend(promisesReceived, now) }
+        val until = promise.nonce.sentAt + times.promiseTerm
+        promise.slots.forEach { slots.getOrNull(it)?.acceptPromise(from, until, now) }
     }
 
     private fun inUse(): List<SlotState> = slots.filter { it.isClaiming || it.isInUse }
@@ -193,12 +198,10 @@
     ): Boolean {
         val state = slots[number]
         val holder = state.value?.holder ?: return true
-        val unchanged = now - state.unchangedSince
         return when {
             holder == settings.host -> false
-            unchanged >= times.abandonTerm -> true
-            state.value?.successor != settings.host -> false
-            else -> unchanged >= times.takeoverTerm && now >= (promisesGiven[holder] ?: Instant.DISTANT_PAST)
+            now - state.unchangedSince >= times.abandonTerm -> true
+            else -> state.value?.successor == settings.host && state.isLapsed(now)
         }
     }
 
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/limits/SlotState.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/limits/SlotState.kt
@@ -19,6 +19,8 @@
     private var writing: SlotWrite? = null
     private var unconfirmed = emptyList<SlotWrite>()
     private var mustObserve = true
+    private val promisesReceived = HashMap<HostName, Instant>()
+    private var promisedUntil = Instant.DISTANT_PAST
 
     var value: EntrySlot? = null
         private set
@@ -78,7 +80,6 @@
     fun conclude(
         write: SlotWrite,
         result: Result<ObjectVersion, StoreFailure>,
-        promises: Map<HostName, Instant>,
         now: Instant,
     ) {
         result.fold(
@@ -95,29 +96,50 @@
             },
         )
         writing = null
-        extend(promises, now)
+        extend(now)
     }
 
-    /** Extends a hold that has not lapsed as far as the successors' [promises] allow. */
-    fun extend(
-        promises: Map<HostName, Instant>,
+    /** Promises not to take the slot over from [holder] until [until], unless that may be under way or done. */
+    fun promise(
+        holder: HostName,
+        until: Instant,
+    ): Boolean {
+        val isKept = !isClaiming && (value == null || value?.holder == holder)
+        if (isKept) {
+            promisedUntil = maxOf(promisedUntil, until)
+        }
+        return isKept
+    }
+
+    /** Whether this entry, as the successor, may take the slot over. */
+    fun isLapsed(now: Instant): Boolean = now - unchangedSince >= times.takeoverTerm && now >= promisedUntil
+
+    /** Notes the promise of [successor]; it extends the hold only if that has not lapsed. */
+    fun acceptPromise(
+        successor: HostName,
+        until: Instant,
         now: Instant,
     ) {
+        promisesReceived.merge(successor, until) { old, new -> maxOf(old, new) }
+        extend(now)
+    }
+
+    /** Stops using the slot; its object is released once nothing that was counted before can still arrive. */
+    fun stopUsing(now: Instant) {
+        lease = lease?.let { if (it.releaseAt == null) it.copy(releaseAt = now + times.useTerm) else it }
+    }
+
+    private fun extend(now: Instant) {
         val current = lease ?: return
         if (now >= current.validUntil) {
             return
         }
-        val promisedUntil = possibleSuccessors.minOfOrNull { promises[it] ?: Instant.DISTANT_PAST }
+        val promised = possibleSuccessors.minOfOrNull { promisesReceived[it] ?: Instant.DISTANT_PAST }
         val longest = current.renewedAt + times.longestHold
-        val allowed = maxOf(promisedUntil ?: longest, current.renewedAt + times.holdTerm)
+        val allowed = maxOf(promised ?: longest, current.renewedAt + times.holdTerm)
         lease = current.copy(validUntil = maxOf(current.validUntil, minOf(allowed, longest)))
     }
 
-    /** Stops using the slot; its object is released once nothing that was counted before can still arrive. */
-    fun stopUsing(now: Instant) {
-        lease = lease?.let { if (it.releaseAt == null) it.copy(releaseAt = now + times.useTerm) else it }
-    }
-
     private fun change(
         newValue: EntrySlot?,
         newVersion: ObjectVersion?,
@@ -147,7 +169,7 @@
         val holdUntil = origin.startedAt + if (newValue.successor == null) times.longestHold else times.holdTerm
         val old = lease
         return SlotLease(
-            countedFrom = old?.countedFrom ?: (now + origin.countedAfter),
+            countedFrom = old?.countedFrom ?: maxOf(now + origin.countedAfter, promisedUntil),
             renewedAt = origin.startedAt,
             successor = newValue.successor,
             attemptedAt = old?.attemptedAt ?: origin.startedAt,
