--- /dev/null
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/limits/FleetLimiterTest.kt
@@ -0,0 +1,175 @@
+package tanagerlane.limits
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import tanagerlane.message.LimitKey
+import tanagerlane.message.LoanReturn
+import tanagerlane.message.WorkspaceLimit
+import tanagerlane.model.HostName
+import tanagerlane.model.Incarnation
+import tanagerlane.model.WorkspaceName
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+private val pool = HostName("pool")
+private val lender = HostName("lender")
+private val TICK = 50.milliseconds
+private val start = Instant.fromEpochSeconds(1_000)
+
+/** A key whose pool is kept by [pool]. */
+private val key: LimitKey =
+    (0..99).map { WorkspaceLimit(WorkspaceName("workspace-$it")) }.first {
+        rendezvousHost(it, setOf(pool, lender)) ==
+            pool
+    }
+
+/** Two entries with a slot each, joined by a network without delay. */
+private class Entries(
+    rate: Rate = Rate(perSecond = 2.0, burst = 8),
+) {
+    val limiters = listOf(pool, lender).associateWith { limiter(it, slot = if (it == pool) 0 else 1, rate) }
+    var isCut = false
+    private val decisions = mutableListOf<Admission>()
+    private var ticked = Duration.ZERO
+
+    fun limiter(
+        host: HostName,
+        slot: Int,
+        rate: Rate,
+    ): FleetLimiter {
+        val limiter = FleetLimiter(LimiterSettings(host, Incarnation(1), slotCount = 2))
+        limiter.peers(setOf(pool, lender), setOf(pool, lender))
+        limiter.slots(listOf(HeldSlot(slot, start, Instant.DISTANT_FUTURE)), start)
+        limiter.configure(listOf(Limit(key, rate)), start)
+        return limiter
+    }
+
+    fun send(
+        from: HostName,
+        messages: List<Outgoing>,
+        after: Duration,
+    ) {
+        for (outgoing in messages.filter { !isCut }) {
+            val reaction = limiters.getValue(outgoing.to).receive(from, outgoing.message, start + after)
+            decisions += reaction.decisions.map { it.admission }
+            send(outgoing.to, reaction.outgoing, after)
+        }
+    }
+
+    fun runUntil(after: Duration) {
+        while (ticked + TICK <= after) {
+            ticked += TICK
+            limiters.forEach { (host, limiter) -> send(host, limiter.tick(start + ticked).outgoing, ticked) }
+        }
+    }
+
+    /** Requests that [host] has admitted when it is asked until it refuses. */
+    fun admitted(
+        host: HostName,
+        after: Duration,
+    ): Int {
+        runUntil(after)
+        val limiter = limiters.getValue(host)
+        return generateSequence { limiter.admit(key, start + after).let { conclude(host, it, after) } }
+            .takeWhile { it is Admission.Admitted }
+            .onEach { limiter.settle((it as Admission.Admitted).permit, start + after) }
+            .count()
+    }
+
+    private fun conclude(
+        host: HostName,
+        admission: Admission,
+        after: Duration,
+    ): Admission? {
+        if (admission !is Admission.AskPool) {
+            return admission
+        }
+        send(host, admission.outgoing, after)
+        return decisions.removeLastOrNull()
+    }
+}
+
+class FleetLimiterTest :
+    FunSpec({
+        test("one entry can spend the whole burst and rate when the other has no requests") {
+            for (host in listOf(pool, lender)) {
+                val entries = Entries()
+                val admitted = listOf(0.0, 12.02, 13.1).map { entries.admitted(host, it.seconds) }
+                admitted shouldBe listOf(0, 8, 2)
+            }
+        }
+
+        test("without slots nothing is admitted") {
+            val entries = Entries()
+            entries.limiters.values.forEach { it.slots(emptyList(), start + 5.seconds) }
+            entries.admitted(pool, 20.seconds) shouldBe 0
+        }
+
+        test("a share that is no longer renewed is counted by nobody until its lender takes it back without tokens") {
+            val cases =
+                listOf(
+                    Counted(100.milliseconds, byPool = 0, byLender = 0),
+                    Counted(1900.milliseconds, byPool = 3, byLender = 0),
+                    Counted(2100.milliseconds, byPool = 4, byLender = 0),
+                    Counted(4200.milliseconds, byPool = 6, byLender = 0),
+                    Counted(4300.milliseconds, byPool = 6, byLender = 0),
+                    Counted(5300.milliseconds, byPool = 7, byLender = 1),
+                )
+            for (expected in cases) {
+                val entries = Entries(Rate(perSecond = 2.0, burst = 40))
+                entries.admitted(lender, 10.seconds) shouldBe 20
+                entries.isCut = true
+                val after = 10.seconds + expected.after
+                Counted(expected.after, entries.admitted(pool, after), entries.admitted(lender, after)) shouldBe
+                    expected
+            }
+        }
+
+        test("a pool without requests gives its loans back with their tokens") {
+            val entries = Entries()
+            entries.admitted(lender, 10.seconds) shouldBe 8
+            entries.runUntil(25.seconds)
+            entries.isCut = true
+            entries.admitted(lender, 25.seconds) shouldBe 4
+        }
+
+        test("messages that come again change nothing") {
+            val entries = Entries()
+            entries.admitted(lender, 10.seconds) shouldBe 8
+            val call =
+                entries.limiters
+                    .getValue(pool)
+                    .tick(start + 11.seconds)
+                    .outgoing
+                    .first()
+            val answer =
+                entries.limiters
+                    .getValue(
+                        lender,
+                    ).receive(pool, call.message, start + 11.seconds)
+                    .outgoing
+                    .single()
+            repeat(9) { entries.send(lender, listOf(answer), 11.seconds) }
+            entries.admitted(pool, 11.seconds) shouldBe 2
+            val stale = LoanReturn(key, Incarnation(1), generation = 0, tokens = 4.0)
+            entries.send(pool, listOf(Outgoing(lender, stale)), 11.seconds)
+            entries.admitted(lender, 11.seconds) shouldBe 0
+        }
+
+        test("a lower rate holds at once and a higher one adds no tokens by itself") {
+            val cases = listOf(Rate(2.0, 2) to 2, Rate(2.0, 8) to 8, Rate(100.0, 100) to 8, Rate(0.0, 0) to 0)
+            for ((rate, expected) in cases) {
+                val entries = Entries()
+                entries.limiters.values.forEach { it.configure(listOf(Limit(key, rate)), start + 10.seconds) }
+                (rate to entries.admitted(lender, 10.seconds)) shouldBe (rate to expected)
+            }
+        }
+    })
+
+private data class Counted(
+    val after: Duration,
+    val byPool: Int,
+    val byLender: Int,
+)
--- /dev/null
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/limits/SlotLeasesTest.kt
@@ -0,0 +1,173 @@
+package tanagerlane.limits
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import tanagerlane.message.EntrySlot
+import tanagerlane.model.FailureDomain
+import tanagerlane.model.HostName
+import tanagerlane.model.Incarnation
+import tanagerlane.store.ObjectVersion
+import tanagerlane.store.StoreFailure
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+class SlotLeasesTest :
+    FunSpec({
+        data class Cut(
+            val fromStore: Boolean,
+            val fromSuccessor: Boolean,
+            val heldFor: Int?,
+            val takenOverAfter: Int?,
+        )
+
+        listOf(
+            Cut(fromStore = false, fromSuccessor = false, heldFor = null, takenOverAfter = null),
+            Cut(fromStore = true, fromSuccessor = false, heldFor = null, takenOverAfter = null),
+            Cut(fromStore = false, fromSuccessor = true, heldFor = null, takenOverAfter = null),
+            Cut(fromStore = true, fromSuccessor = true, heldFor = 14, takenOverAfter = 18),
+        ).forEach { cut ->
+            test("a holder that loses something stops before its successor starts: $cut") {
+                val store = FakeStore(slotCount = 1)
+                val holder = leases("a", slotCount = 1)
+                val successor = leases("b", slotCount = 1)
+                var heldFor: Int? = null
+                var takenOverAfter: Int? = null
+                for (second in 0..60) {
+                    val isCut = second > 10
+                    step(holder, store.takeUnless { isCut && cut.fromStore }, "b", second)
+                    step(successor, store, "a", second)
+                    if (!isCut || !cut.fromSuccessor) {
+                        exchange(holder, successor, second)
+                    }
+                    if (second > 0 && holder.held(at(second)).isEmpty()) {
+                        heldFor = heldFor ?: (second - 10 - 1)
+                    }
+                    if (successor.held(at(second)).isNotEmpty()) {
+                        takenOverAfter = takenOverAfter ?: (second - 10)
+                    }
+                }
+                Cut(cut.fromStore, cut.fromSuccessor, heldFor, takenOverAfter) shouldBe cut
+            }
+        }
+
+        test("a claim whose answer was lost is held once it is read back, from the time it was sent") {
+            val leases = leases("a", slotCount = 1)
+            leases.observe(listOf(SlotRecord(0, value = null, version = null)), at(0))
+            val write = leases.writes(listOf(peer("b")), at(1)).single()
+            leases.concluded(write, Err(StoreFailure.OutcomeUnknown("lost")), at(2))
+            leases.held(at(2)) shouldBe emptyList()
+            leases.writes(listOf(peer("b")), at(2)) shouldBe emptyList()
+
+            leases.observe(listOf(SlotRecord(0, write.value, ObjectVersion(1))), at(3))
+
+            leases.held(at(12)) shouldBe listOf(HeldSlot(0, countedFrom = at(3), validUntil = at(16)))
+        }
+
+        test("slots that are given up are released after their last use and can be claimed then") {
+            val store = FakeStore(slotCount = 2)
+            val leases = leases("a", slotCount = 2)
+            (0..2).forEach { step(leases, store, null, it) }
+            leases.held(at(2)).map { it.number } shouldBe listOf(0, 1)
+
+            leases.stop(at(3))
+
+            leases.held(at(3)) shouldBe emptyList()
+            val released =
+                (3..12).associateWith { second ->
+                    step(leases, store, null, second)
+                    leases.isReleased()
+                }
+            released.filterValues { it }.keys.first() shouldBe 10
+            store.list()?.map { it.value?.holder } shouldBe listOf(null, null)
+        }
+
+        data class Claim(
+            val name: String,
+            val found: EntrySlot?,
+            val claimedAfter: Int?,
+            val countedAfter: Int?,
+        )
+
+        listOf(
+            Claim("no object", found = null, claimedAfter = 0, countedAfter = 0),
+            Claim("free", slot(holder = null), claimedAfter = 0, countedAfter = 0),
+            Claim("held by an earlier incarnation", slot(holder = "a"), claimedAfter = 0, countedAfter = 7),
+            Claim(
+                "held, the successor is this entry",
+                slot("b", successor = "a"),
+                claimedAfter = 18,
+                countedAfter = 18,
+            ),
+            Claim("held, another successor", slot("b", successor = "c"), claimedAfter = null, countedAfter = null),
+            Claim("divided into another number of slots", slot("b", "a", slotCount = 9), null, null),
+        ).forEach { case ->
+            test("a slot is claimed only when nobody else may count it: ${case.name}") {
+                val leases = leases("a", slotCount = 1)
+                val record = SlotRecord(0, case.found, case.found?.let { ObjectVersion(7) })
+                var claimedAfter: Int? = null
+                var countedAfter: Int? = null
+                for (second in 0..40) {
+                    leases.observe(listOf(record), at(second))
+                    leases.writes(listOf(peer("b")), at(second)).forEach {
+                        if (claimedAfter == null) it.expected shouldBe record.version
+                        claimedAfter = claimedAfter ?: second
+                        leases.concluded(it, Ok(ObjectVersion(8L + second)), at(second))
+                    }
+                    countedAfter = countedAfter ?: second.takeIf { leases.held(at(second)).isNotEmpty() }
+                    if (countedAfter != null) break
+                }
+                case.copy(claimedAfter = claimedAfter, countedAfter = countedAfter) shouldBe case
+            }
+        }
+    })
+
+private fun at(second: Int): Instant = Instant.fromEpochSeconds(1_000) + second.seconds
+
+private fun peer(name: String): EntryPeer = EntryPeer(HostName(name), FailureDomain(name))
+
+private fun leases(
+    name: String,
+    slotCount: Int,
+): SlotLeases = SlotLeases(SlotSettings(HostName(name), Incarnation(5), "127.0.0.1", 1, slotCount), FailureDomain(name))
+
+private fun slot(
+    holder: String?,
+    successor: String? = null,
+    slotCount: Int = 1,
+): EntrySlot =
+    EntrySlot(
+        slotCount = slotCount,
+        holder = holder?.let { HostName(it) },
+        incarnation = Incarnation(4),
+        address = "127.0.0.1",
+        wirePort = 1,
+        term = 18.seconds,
+        successor = successor?.let { HostName(it) },
+    )
+
+/** Reads and writes as an entry does each second; [store] is null while it cannot be reached. */
+private fun step(
+    leases: SlotLeases,
+    store: FakeStore?,
+    peer: String?,
+    second: Int,
+) {
+    store?.list()?.let { leases.observe(it, at(second)) }
+    leases.writes(listOfNotNull(peer?.let { peer(it) }), at(second)).forEach { write ->
+        leases.concluded(write, store?.put(write) ?: Err(StoreFailure.Unavailable("cut")), at(second))
+    }
+}
+
+private fun exchange(
+    holder: SlotLeases,
+    successor: SlotLeases,
+    second: Int,
+) {
+    for (heartbeat in holder.tick(at(second))) {
+        successor.receive(HostName("a"), heartbeat.message, at(second)).forEach {
+            holder.receive(HostName("b"), it.message, at(second))
+        }
+    }
+}
