--- /dev/null
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/queueing/QueueLoad.kt
@@ -0,0 +1,16 @@
+package tanagerlane.queueing
+
+/**
+ * Load of an [AdmissionQueue].
+ *
+ * @property batchLimit most batch entries that may run at present
+ */
+public data class QueueLoad(
+    val onlineQueued: Int,
+    val onlineRunning: Int,
+    val batchQueued: Int,
+    val batchRunning: Int,
+    val batchLimit: Int,
+    val window: Int,
+    val draining: Boolean,
+)
