--- /dev/null
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/OnlineRoutes.kt
@@ -0,0 +1,169 @@
+package tanagerlane.entry
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.binding
+import com.github.michaelbull.result.coroutines.coroutineBinding
+import com.github.michaelbull.result.onErr
+import com.github.michaelbull.result.onOk
+import kotlinx.coroutines.channels.Channel
+import tanagerlane.attempts.AttemptEvent
+import tanagerlane.caller.ModelDocument
+import tanagerlane.caller.ModelsDocument
+import tanagerlane.inventory.ServiceRoute
+import tanagerlane.message.RouteLimit
+import tanagerlane.message.ServiceWork
+import tanagerlane.message.Work
+import tanagerlane.message.WorkspaceLimit
+import tanagerlane.model.RefusalReason
+import tanagerlane.model.RequestId
+import tanagerlane.model.RunState
+import tanagerlane.model.ServiceName
+import tanagerlane.model.WorkspaceName
+import tanagerlane.platform.HopTracer
+import java.util.UUID
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
+
+/**
+ * Answers online requests.
+ */
+internal class OnlineRoutes(
+    private val gate: Gate,
+    private val charging: Charging,
+    private val runner: RequestRunner,
+    private val tracer: HopTracer,
+    private val now: () -> Instant,
+) {
+    suspend fun models(exchange: CallerExchange) {
+        binding {
+            val state = gate.passOpen().bind()
+            gate.workspaceOf(state, exchange).bind()
+            val names =
+                state.configuration.inventory.models
+                    .map { ModelDocument(it.name) }
+            ModelsDocument(data = names)
+        }.onOk { exchange.sendJson(OK, ModelsDocument.serializer(), it) }
+            .onErr { exchange.refuse(it) }
+    }
+
+    suspend fun chat(exchange: CallerExchange) {
+        coroutineBinding {
+            val state = gate.passOpen().bind()
+            val workspace = gate.workspaceOf(state, exchange).bind()
+            val work = state.chatParser.parse(exchange.body).bind()
+            val allowed = allowedTime(exchange, state).bind()
+            val charge = charging.charge(WorkspaceLimit(workspace)).bind()
+            requestOf(exchange, allowed, charge, work, idempotent = true)
+        }.onOk { run(exchange, it, "chat") }
+            .onErr { exchange.refuse(it) }
+    }
+
+    suspend fun service(
+        exchange: CallerExchange,
+        name: ServiceName,
+        path: String,
+    ) {
+        coroutineBinding {
+            val state = gate.passOpen().bind()
+            val route = routeOf(state, name, path, exchange.method)
+            val workspace = payerOf(route, state, exchange).bind()
+            val served = route ?: Err(refusal(RefusalReason.NOT_FOUND)).bind()
+            val allowed = allowedTime(exchange, state).bind()
+            val key = workspace?.let { WorkspaceLimit(it) } ?: RouteLimit(name, served.prefix)
+            val charge = charging.charge(key).bind()
+            requestOf(exchange, allowed, charge, workOf(exchange, name, path), exchange.method in served.repeatable)
+        }.onOk { run(exchange, it, "service") }
+            .onErr { exchange.refuse(it) }
+    }
+
+    private fun routeOf(
+        state: EntryState,
+        name: ServiceName,
+        path: String,
+        method: String,
+    ): ServiceRoute? =
+        state
+            .service(name)
+            ?.routes
+            ?.filter { path.startsWith(it.prefix) }
+            ?.maxByOrNull { it.prefix.length }
+            ?.takeIf { method in it.methods }
+
+    private fun payerOf(
+        route: ServiceRoute?,
+        state: EntryState,
+        exchange: CallerExchange,
+    ): Result<WorkspaceName?, Refusal> = if (route?.open == true) Ok(null) else gate.workspaceOf(state, exchange)
+
+    private fun workOf(
+        exchange: CallerExchange,
+        name: ServiceName,
+        path: String,
+    ): Work =
+        ServiceWork(
+            service = name,
+            method = exchange.method,
+            path = path,
+            headers = exchange.passedHeaders(),
+            body = exchange.body,
+        )
+
+    private fun requestOf(
+        exchange: CallerExchange,
+        allowed: Duration,
+        charge: Charge,
+        work: Work,
+        idempotent: Boolean,
+    ): OnlineRequest =
+        OnlineRequest(
+            id = RequestId(UUID.randomUUID().toString()),
+            workspace = exchange.workspace,
+            charge = charge,
+            idempotent = idempotent,
+            deadline = now() + allowed,
+            work = work,
+            traceParent = exchange.header("traceparent"),
+        )
+
+    private fun allowedTime(
+        exchange: CallerExchange,
+        state: EntryState,
+    ): Result<Duration, Refusal> {
+        val asked = exchange.header(TIMEOUT_HEADER) ?: return Ok(state.rules.onlineDeadline)
+        val milliseconds = asked.toLongOrNull()
+        return when {
+            milliseconds == null -> Err(malformedTimeout(asked))
+            milliseconds <= 0 -> Err(refusal(RefusalReason.DEADLINE_EXCEEDED))
+            else -> Ok(milliseconds.milliseconds)
+        }
+    }
+
+    private fun malformedTimeout(text: String) =
+        Refusal(RefusalReason.MALFORMED, RunState.NOT_RUN, "The header $TIMEOUT_HEADER is not a number: $text")
+
+    private suspend fun run(
+        exchange: CallerExchange,
+        request: OnlineRequest,
+        name: String,
+    ) {
+        val span = tracer.start("entry $name", request.traceParent)
+        val events = Channel<AttemptEvent>(Channel.UNLIMITED)
+        exchange.onGone { events.trySend(AttemptEvent.CallerGone) }
+        val traced = request.copy(traceParent = span.traceParent)
+        try {
+            runner.run(traced, events, exchange.sink())
+        } finally {
+            span.end()
+        }
+    }
+
+    private fun refusal(reason: RefusalReason) = Refusal(reason, RunState.NOT_RUN, reason.explanation)
+
+    private companion object {
+        const val OK = 200
+        const val TIMEOUT_HEADER = "x-timeout-milliseconds"
+    }
+}
