Run a target's work in the order that its queue decides

The engine starts whatever comes, so the sidecar has to hold work back. TargetScheduler.run takes an offer and a sink as TargetClient.run does, waits for the queue's start, and passes online answers on byte by byte. Batch items are always streamed from the engine, so that a run that is preempted is cancelled and resumed from the tokens already received; the transcript, not the queue, says from which token, since tokens may come between the decision and the cancel.

The stand-in sent the role event before the first token; it now comes with the first token, so that first bytes mean a first token.

--- /dev/null
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/engine/BatchRun.kt
@@ -0,0 +1,106 @@
+package tanagerlane.sidecar.engine
+
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getError
+import kotlinx.coroutines.async
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.selects.select
+import tanagerlane.message.Header
+import tanagerlane.message.Offer
+import tanagerlane.model.RefusalReason
+import tanagerlane.model.RunState
+import tanagerlane.sidecar.AnswerSink
+
+/** Runs one batch item, which may be stopped and resumed any number of times; its answer comes whole at the end. */
+internal class BatchRun(
+    private val client: EngineClient,
+    private val offer: Offer,
+    private val body: ChatBody,
+    private val submission: Submission,
+) {
+    private val transcript = ChatTranscript(body.maximumTokens)
+    private var begun = false
+
+    suspend fun run(sink: AnswerSink) {
+        while (true) {
+            val signal = submission.signals.receive()
+            if (signal is QueueSignal.Refuse) {
+                return sink.fail(if (begun) RunState.UNKNOWN else RunState.NOT_RUN, signal.reason)
+            }
+            if (signal == QueueSignal.Start && (!begin(sink) || runOnce(sink))) {
+                return
+            }
+        }
+    }
+
+    private suspend fun begin(sink: AnswerSink): Boolean {
+        begun = begun || sink.begin()
+        return begun
+    }
+
+    /** Runs until the answer ends or the queue stops the run; returns whether the sink has had its last call. */
+    private suspend fun runOnce(sink: AnswerSink): Boolean {
+        val outcome = if (transcript.complete) Ok(Unit) else streamUntilPreempted()
+        if (outcome == null && !transcript.complete) {
+            return false
+        }
+        if (transcript.complete) answer(sink) else fail(outcome, sink)
+        return true
+    }
+
+    /** Returns how the stream ended, or null when it was stopped. */
+    private suspend fun streamUntilPreempted(): Result<Unit, EngineFailure>? =
+        coroutineScope {
+            val stream = async { client.stream(offer.attempt.request, body.resumed(transcript.tokens), ::take) }
+            val ended =
+                select {
+                    stream.onAwait { it }
+                    submission.signals.onReceive { null }
+                }
+            if (ended == null) {
+                client.cancel(offer.attempt.request)
+                stream.cancelAndJoin()
+            }
+            ended
+        }
+
+    private fun take(event: String) {
+        transcript.add(event)
+        submission.onProgress(transcript.tokens)
+    }
+
+    private suspend fun answer(sink: AnswerSink) {
+        sink.head(OK, listOf(Header("content-type", "application/json")))
+        sink.bytes(transcript.answer())
+        sink.end()
+    }
+
+    private suspend fun fail(
+        outcome: Result<Unit, EngineFailure>?,
+        sink: AnswerSink,
+    ) {
+        when (val failure = outcome?.getError() ?: EngineFailure.Broken) {
+            EngineFailure.Unreachable -> {
+                sink.fail(unreachedState(), RefusalReason.NO_TARGET)
+            }
+
+            EngineFailure.Broken -> {
+                sink.fail(RunState.UNKNOWN, RefusalReason.TARGET_FAILED)
+            }
+
+            is EngineFailure.Answered -> {
+                sink.head(failure.status, listOf(Header("content-type", "application/json")))
+                sink.bytes(failure.body)
+                sink.end()
+            }
+        }
+    }
+
+    private fun unreachedState() = if (transcript.tokens == 0) RunState.NOT_RUN else RunState.UNKNOWN
+
+    private companion object {
+        const val OK = 200
+    }
+}
--- /dev/null
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/engine/ChatBody.kt
@@ -0,0 +1,57 @@
+package tanagerlane.sidecar.engine
+
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.intOrNull
+import kotlinx.serialization.json.put
+import tanagerlane.message.ChatWork
+import tanagerlane.model.Payload
+
+/** Body of a chat completion whose run can be stopped and resumed. */
+internal class ChatBody private constructor(
+    private val fields: JsonObject,
+    private val work: ChatWork,
+) {
+    /** Most tokens that the answer has. */
+    val maximumTokens: Int
+        get() =
+            LIMITS.firstNotNullOfOrNull { number(fields[it]) }?.coerceAtMost(work.maximumTokens)
+                ?: work.maximumTokens
+
+    /** Returns the body that asks for a stream from the token at place [tokens] on. */
+    fun resumed(tokens: Int): Payload {
+        val changes =
+            mapOf(
+                "stream" to JsonPrimitive(true),
+                "stream_options" to buildJsonObject { put("include_usage", true) },
+                "max_tokens" to JsonPrimitive(maximumTokens),
+                "resume_tokens" to JsonPrimitive(tokens),
+            )
+        return Payload.of(JsonObject(fields - LIMITS + changes).toString())
+    }
+
+    companion object {
+        private val LIMITS = listOf("max_completion_tokens", "max_tokens")
+        private val UNSTITCHED = listOf("tools", "functions", "logprobs")
+
+        /** Reads the body of [work]; null when its answer has more than one text and cannot be put together. */
+        fun of(work: ChatWork): ChatBody? {
+            val fields = parse(work.body) ?: return null
+            val single = number(fields["n"]).let { it == null || it == 1 }
+            return if (single && UNSTITCHED.none { it in fields }) ChatBody(fields, work) else null
+        }
+
+        private fun parse(body: Payload): JsonObject? =
+            try {
+                Json.parseToJsonElement(body.toText()) as? JsonObject
+            } catch (_: SerializationException) {
+                null
+            }
+
+        private fun number(element: JsonElement?): Int? = (element as? JsonPrimitive)?.intOrNull
+    }
+}
--- /dev/null
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/engine/OnlineRun.kt
@@ -0,0 +1,62 @@
+package tanagerlane.sidecar.engine
+
+import tanagerlane.message.ChatWork
+import tanagerlane.message.Offer
+import tanagerlane.model.Payload
+import tanagerlane.model.RunState
+import tanagerlane.sidecar.AnswerSink
+
+/** Runs work that is never stopped once it has begun, and passes the target's bytes on as they are. */
+internal class OnlineRun(
+    private val call: suspend (Offer, AnswerSink) -> Unit,
+) {
+    suspend fun run(
+        offer: Offer,
+        sink: AnswerSink,
+        submission: Submission,
+    ) {
+        when (val signal = submission.signals.receive()) {
+            is QueueSignal.Refuse -> sink.fail(RunState.NOT_RUN, signal.reason)
+            QueueSignal.Start -> call(offer, counted(offer, sink, submission))
+            QueueSignal.Preempt -> error("online entry was preempted: ${offer.attempt}")
+        }
+    }
+
+    private fun counted(
+        offer: Offer,
+        sink: AnswerSink,
+        submission: Submission,
+    ): AnswerSink {
+        val work = offer.work
+        if (work !is ChatWork || !work.streamed) {
+            return sink
+        }
+        val counter = EventCounter(submission)
+        return sink.copy(
+            bytes = {
+                counter.accept(it)
+                sink.bytes(it)
+            },
+            end = {
+                counter.end()
+                sink.end()
+            },
+        )
+    }
+
+    private class EventCounter(
+        private val submission: Submission,
+    ) {
+        private val parser = EventParser()
+        private var events = 0
+
+        fun accept(bytes: Payload) {
+            if (events == 0) {
+                submission.onFirstToken()
+            }
+            events += maxOf(parser.accept(bytes.toByteArray()).size, if (events == 0) 1 else 0)
+        }
+
+        fun end() = submission.onProgress(events)
+    }
+}
--- /dev/null
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/engine/TargetScheduler.kt
@@ -0,0 +1,135 @@
+package tanagerlane.sidecar.engine
+
+import io.vertx.core.Vertx
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import tanagerlane.message.ChatWork
+import tanagerlane.message.Offer
+import tanagerlane.model.AttemptId
+import tanagerlane.model.RequestClass
+import tanagerlane.model.WorkspaceName
+import tanagerlane.queueing.AdmissionQueue
+import tanagerlane.queueing.QueueDecision
+import tanagerlane.queueing.QueueEntry
+import tanagerlane.queueing.QueueLoad
+import tanagerlane.queueing.QueueSettings
+import tanagerlane.sidecar.AnswerSink
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
+
+/**
+ * Runs all work of one target in the order that its queue decides.
+ *
+ * @param targetUrl base URL of the target
+ * @param call calls the target for one attempt that has its turn, asking the sink to begin first
+ * @param weightOf share of a workspace relative to others; null stands for routes open to all
+ */
+internal class TargetScheduler(
+    vertx: Vertx,
+    targetUrl: String,
+    settings: QueueSettings,
+    call: suspend (Offer, AnswerSink) -> Unit,
+    private val weightOf: (WorkspaceName?) -> Int,
+    private val now: () -> Instant,
+) {
+    private val client = EngineClient(vertx, targetUrl)
+    private val onlineRun = OnlineRun(call)
+    private val lock = Any()
+    private val queue = AdmissionQueue(settings)
+    private val signals = HashMap<AttemptId, Channel<QueueSignal>>()
+
+    /** Load at present. */
+    val load: QueueLoad get() = synchronized(lock) { queue.load }
+
+    /**
+     * Runs the work of [offer] when its turn comes and reports to [sink]; cancellation gives up place and run.
+     *
+     * Batch work whose answer cannot be put together from parts runs on when it is preempted.
+     */
+    suspend fun run(
+        offer: Offer,
+        sink: AnswerSink,
+    ) {
+        val submission = submit(offer)
+        try {
+            val body = (offer.work as? ChatWork)?.takeIf { isBatch(offer) }?.let(ChatBody::of)
+            if (body == null) {
+                onlineRun.run(offer, sink, submission)
+            } else {
+                BatchRun(client, offer, body, submission).run(sink)
+            }
+        } finally {
+            leave(offer.attempt)
+        }
+    }
+
+    /** Puts [settings] in force. */
+    fun configure(settings: QueueSettings): Unit = decide { queue.configure(settings, now()) }
+
+    /** Refuses work that has not begun, but for online work that waits already. */
+    fun drain(): Unit = decide { queue.drain(now()) }
+
+    /** Lets the queue act on the passing of time; returns only by cancellation. */
+    suspend fun tickLoop() {
+        while (true) {
+            delay(TICK)
+            decide { queue.tick(now()) }
+        }
+    }
+
+    private fun submit(offer: Offer): Submission {
+        val channel = Channel<QueueSignal>(Channel.UNLIMITED)
+        val entry = entryOf(offer)
+        decide {
+            check(signals.putIfAbsent(entry.id, channel) == null) { "attempt is in the queue already: ${entry.id}" }
+            queue.offer(entry, now())
+        }
+        return Submission(
+            signals = channel,
+            onFirstToken = { decide { queue.firstToken(entry.id, now()) } },
+            onProgress = { decide { queue.progress(entry.id, it, now()) } },
+        )
+    }
+
+    private fun entryOf(offer: Offer): QueueEntry {
+        val work = offer.work as? ChatWork
+        return QueueEntry(
+            id = offer.attempt,
+            workspace = offer.workspace,
+            requestClass = offer.requestClass,
+            promptTokens = work?.let { it.body.size / BYTES_PER_TOKEN } ?: CALL_TOKENS,
+            maximumTokens = work?.let { ChatBody.of(it)?.maximumTokens ?: it.maximumTokens } ?: 0,
+            weight = weightOf(offer.workspace),
+            deadline = now() + offer.remaining,
+        )
+    }
+
+    private fun leave(id: AttemptId) {
+        decide {
+            signals.remove(id)
+            queue.cancel(id, now())
+        }
+    }
+
+    private fun decide(action: () -> List<QueueDecision>) {
+        synchronized(lock) { action().forEach(::signal) }
+    }
+
+    private fun signal(decision: QueueDecision) {
+        when (decision) {
+            is QueueDecision.Start -> signals[decision.id]?.trySend(QueueSignal.Start)
+            is QueueDecision.Preempt -> signals[decision.id]?.trySend(QueueSignal.Preempt)
+            is QueueDecision.Refuse -> signals[decision.id]?.trySend(QueueSignal.Refuse(decision.reason))
+        }
+    }
+
+    private fun isBatch(offer: Offer) = offer.requestClass == RequestClass.BATCH
+
+    private companion object {
+        const val BYTES_PER_TOKEN = 4
+
+        /** Cost of a call of a plain service. */
+        const val CALL_TOKENS = 1
+        val TICK = 50.milliseconds
+    }
+}
--- a/tanagerlane-standin/src/main/kotlin/tanagerlane/standin/engine/ChatEndpoint.kt
+++ b/tanagerlane-standin/src/main/kotlin/tanagerlane/standin/engine/ChatEndpoint.kt
@@ -74,11 +74,11 @@
         tokens: ReceiveChannel<EngineToken>,
     ) {
         response.setChunked(true).putHeader("content-type", "text/event-stream")
-        if (run.resumeTokens == 0) {
-            response.write(event(answer(run, model, CHUNK, delta(ChatAnswer.Message(ASSISTANT, "")))))
-        }
         var complete = false
         for (token in tokens) {
+            if (token.number == 0) {
+                response.write(event(answer(run, model, CHUNK, delta(ChatAnswer.Message(ASSISTANT, "")))))
+            }
             response.write(event(answer(run, model, CHUNK, delta(ChatAnswer.Message(content = token.text)))))
             complete = token.last
         }
