--- /dev/null
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/attempts/AttemptTableTest.kt
@@ -0,0 +1,188 @@
+package tanagerlane.attempts
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import tanagerlane.message.Accepted
+import tanagerlane.message.AnswerEnd
+import tanagerlane.message.AnswerFragment
+import tanagerlane.message.AnswerHead
+import tanagerlane.message.AttemptFailed
+import tanagerlane.message.Cancel
+import tanagerlane.message.ChatWork
+import tanagerlane.message.NeverSeen
+import tanagerlane.message.NotRun
+import tanagerlane.message.Offer
+import tanagerlane.message.Resolve
+import tanagerlane.model.AttemptId
+import tanagerlane.model.Incarnation
+import tanagerlane.model.ModelName
+import tanagerlane.model.Payload
+import tanagerlane.model.RefusalReason
+import tanagerlane.model.RequestClass
+import tanagerlane.model.RequestId
+import tanagerlane.model.RunState
+import tanagerlane.model.WorkspaceName
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+private class OfferCase(
+    val name: String,
+    val offer: Offer = OFFER,
+    val source: OfferSource = SOURCE,
+    val limits: AttemptLimits = AttemptLimits(shards = 1),
+    val before: (AttemptTable) -> Unit = {},
+    val expected: OfferDecision,
+)
+
+class AttemptTableTest :
+    FunSpec({
+        OFFER_CASES.forEach { case ->
+            test("an offer ${case.name}") {
+                val table = AttemptTable(INCARNATION, case.limits).also(case.before)
+                table.offer(case.offer, case.source, NOW) shouldBe case.expected
+            }
+        }
+
+        test("a resolved attempt goes on from what was received, on the newer connection") {
+            val table = AttemptTable(INCARNATION)
+            table.offer(OFFER, SOURCE, NOW)
+            table.start(ATTEMPT, NOW) shouldBe StartDecision.Call
+            table.head(HEAD, NOW) shouldBe Delivery(SOURCE.session, listOf(HEAD))
+            table.append(ATTEMPT, Payload.of("abc"), NOW)
+            table.append(ATTEMPT, Payload.of("def"), NOW)
+            val rest = AnswerFragment(ATTEMPT, 3, Payload.of("def"))
+            table.resolve(Resolve(ATTEMPT, received = 3), NEWER, NOW) shouldBe listOf(ACCEPTED, HEAD, rest)
+            table.offer(OFFER, SOURCE, NOW)
+            table.end(ATTEMPT, NOW) shouldBe Delivery(NEWER, listOf(AnswerEnd(ATTEMPT, 6)))
+        }
+
+        test("a target is called once at most, and not after cancellation or the deadline") {
+            val table = AttemptTable(INCARNATION)
+            table.offer(OFFER, SOURCE, NOW)
+            val lapsed = AttemptFailed(ATTEMPT, RunState.NOT_RUN, RefusalReason.DEADLINE_EXCEEDED)
+            table.start(ATTEMPT, NOW + 10.seconds) shouldBe
+                StartDecision.Skip(Delivery(SOURCE.session, listOf(lapsed)))
+            table.start(ATTEMPT, NOW) shouldBe StartDecision.Skip(null)
+            val other = ATTEMPT.copy(number = 2)
+            table.offer(OFFER.copy(attempt = other), SOURCE, NOW)
+            table.cancel(Cancel(other), NOW) shouldBe CancelDecision.NOT_STARTED
+            table.start(other, NOW) shouldBe StartDecision.Skip(null)
+        }
+
+        test("an answer that no longer fits is given up and said to be unknown") {
+            val table = AttemptTable(INCARNATION, AttemptLimits(shards = 1, maximumBytes = 4))
+            table.offer(OFFER, SOURCE, NOW)
+            table.append(ATTEMPT, Payload.of("abc"), NOW)
+            table.append(ATTEMPT, Payload.of("def"), NOW)
+            table.bufferedBytes shouldBe 0
+            table.resolve(Resolve(ATTEMPT, received = 3), NEWER, NOW) shouldBe
+                listOf(AttemptFailed(ATTEMPT, RunState.UNKNOWN, RefusalReason.OUTCOME_UNKNOWN))
+        }
+
+        test("an ended attempt is known until its deadline has passed, and a running one always") {
+            val limits = AttemptLimits(answerRetention = 1.seconds, deadlineMargin = 2.seconds)
+            val table = AttemptTable(INCARNATION, limits)
+            table.offer(OFFER, SOURCE, NOW)
+            table.detach(SOURCE.session, NOW)
+            table.expire(NOW + 60.seconds) shouldBe listOf(ATTEMPT)
+            table.end(ATTEMPT, NOW + 60.seconds)
+            table.expire(NOW + 62.seconds)
+            table.size shouldBe 0
+            table.offer(OFFER, SOURCE.copy(freshAt = NOW + 62.seconds), NOW + 62.seconds)
+            table.end(ATTEMPT, NOW + 62.seconds)
+            table.expire(NOW + 73.seconds)
+            table.size shouldBe 1
+            table.expire(NOW + 74.seconds)
+            table.size shouldBe 0
+        }
+
+        test("a crowded filter forgets no tombstone within its retention") {
+            val filter = TombstoneFilter(bits = 1 shl 10, retention = 60.seconds)
+            val random = Random(1)
+            val added = List(5000) { random.nextLong() to NOW + (it * 10).milliseconds }
+            added.forEach { (hash, at) -> filter.add(hash, at) }
+            val end = NOW + 50.seconds
+            added.count { (hash, at) -> end - at < 60.seconds && !filter.contains(hash, end) } shouldBe 0
+            filter.contains(added.last().first, end + 120.seconds) shouldBe false
+        }
+    })
+
+private val NOW = Instant.fromEpochSeconds(1_000_000)
+private val INCARNATION = Incarnation(5)
+private val ATTEMPT = AttemptId(RequestId("request"), 1)
+private val SOURCE = OfferSource(SessionId(1), freshAt = NOW)
+private val NEWER = SessionId(2)
+private val ACCEPTED = Accepted(ATTEMPT, INCARNATION)
+private val HEAD = AnswerHead(ATTEMPT, 200, emptyList())
+private val WORK = ChatWork(ModelName("model"), Payload.of("{}"), streamed = false, maximumTokens = 8)
+private val OFFER =
+    Offer(
+        attempt = ATTEMPT,
+        workspace = WorkspaceName("press"),
+        requestClass = RequestClass.ONLINE,
+        idempotent = false,
+        remaining = 10.seconds,
+        work = WORK,
+        expectedIncarnation = INCARNATION,
+    )
+
+private fun refused(reason: RefusalReason) = OfferDecision.Refused(NotRun(ATTEMPT, reason))
+
+private val OFFER_CASES =
+    listOf(
+        OfferCase("that is new runs", expected = OfferDecision.Run(listOf(ACCEPTED))),
+        OfferCase(
+            "that comes again joins the run",
+            before = {
+                it.offer(OFFER, SOURCE, NOW)
+                it.append(ATTEMPT, Payload.of("abc"), NOW)
+            },
+            expected = OfferDecision.Joined(listOf(ACCEPTED, AnswerFragment(ATTEMPT, 0, Payload.of("abc")))),
+        ),
+        OfferCase(
+            "of a known attempt with other content is a conflict",
+            before = { it.offer(OFFER.copy(work = WORK.copy(body = Payload.of("[]"))), SOURCE, NOW) },
+            expected = OfferDecision.Conflict,
+        ),
+        OfferCase(
+            "without time left is refused",
+            offer = OFFER.copy(remaining = Duration.ZERO),
+            expected = refused(RefusalReason.DEADLINE_EXCEEDED),
+        ),
+        OfferCase(
+            "on a connection that has not proved fresh is refused",
+            source = SOURCE.copy(freshAt = NOW - 31.seconds),
+            expected = refused(RefusalReason.NO_TARGET),
+        ),
+        OfferCase(
+            "for another incarnation is not answered for that one",
+            offer = OFFER.copy(expectedIncarnation = Incarnation(4)),
+            expected = OfferDecision.WrongIncarnation(NeverSeen(ATTEMPT, INCARNATION)),
+        ),
+        OfferCase(
+            "that was resolved before it came is refused",
+            before = { it.resolve(Resolve(ATTEMPT, received = 0), NEWER, NOW) },
+            expected = refused(RefusalReason.OVERLOADED),
+        ),
+        OfferCase(
+            "that was cancelled before it came is refused",
+            before = { it.cancel(Cancel(ATTEMPT), NOW) },
+            expected = refused(RefusalReason.OVERLOADED),
+        ),
+        OfferCase(
+            "over the bound is refused",
+            limits = AttemptLimits(shards = 1, maximumAttempts = 1),
+            before = { it.offer(OFFER.copy(attempt = ATTEMPT.copy(number = 2)), SOURCE, NOW) },
+            expected = refused(RefusalReason.OVERLOADED),
+        ),
+        OfferCase(
+            "that was refused stays refused when it comes again",
+            before = {
+                it.offer(OFFER.copy(remaining = Duration.ZERO), SOURCE, NOW)
+            },
+            expected = refused(RefusalReason.OVERLOADED),
+        ),
+    )
