--- a/tanagerlane-wire/src/main/kotlin/tanagerlane/wire/WireEndpoint.kt
+++ b/tanagerlane-wire/src/main/kotlin/tanagerlane/wire/WireEndpoint.kt
@@ -13,6 +13,7 @@
 import io.ktor.network.sockets.aSocket
 import io.ktor.network.sockets.port
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
@@ -37,7 +38,7 @@
     private val limits: WireLimits = WireLimits(),
     private val now: () -> Instant,
 ) {
-    private val selector = SelectorManager(scope.coroutineContext)
+    private val selector = SelectorManager(Dispatchers.IO)
 
     @Volatile
     private var listener: ServerSocket? = null
@@ -128,10 +129,11 @@
         expected: HostName?,
     ): Result<WireConnection, WireFault> {
         val frames = FrameChannel(socket, limits)
+        val openedAt = now()
         return sendHello(frames)
             .flatMap { frames.read() }
             .flatMap { checkHello(it, expected) }
-            .flatMap { peer -> Ok(WireConnection(peer, frames, limits, scope, now).start()) }
+            .flatMap { peer -> Ok(WireConnection(peer, frames, limits, scope, now, openedAt).start()) }
             .onErr { frames.close() }
     }
 
