--- a/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/SidecarDaemon.kt
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/SidecarDaemon.kt
@@ -17,8 +17,6 @@
 import tanagerlane.batch.BatchRules
 import tanagerlane.batch.Claimant
 import tanagerlane.inventory.Configuration
-import tanagerlane.inventory.Inventory
-import tanagerlane.inventory.Target
 import tanagerlane.jobs.BatchTarget
 import tanagerlane.jobs.BatchWorker
 import tanagerlane.limits.ArrivalGuard
@@ -28,14 +26,13 @@
 import tanagerlane.message.HostRole
 import tanagerlane.message.LoadReport
 import tanagerlane.model.Incarnation
-import tanagerlane.model.ModelName
-import tanagerlane.model.WorkspaceName
 import tanagerlane.platform.MemberRegistration
 import tanagerlane.platform.MonotonicClock
 import tanagerlane.platform.OperatorServer
 import tanagerlane.platform.PrefixWatcher
 import tanagerlane.platform.StoredDocuments
 import tanagerlane.settings.SidecarSettings
+import tanagerlane.sidecar.engine.TargetScheduler
 import tanagerlane.store.ObjectStore
 import tanagerlane.store.StoredObject
 import tanagerlane.wire.WireAddress
@@ -58,24 +55,33 @@
     private val client = TargetClient(vertx, settings.targetUrl)
     private val endpoint = WireEndpoint(hello(), scope, now = clock::now)
     private val registration = MemberRegistration(store)
+    private val scheduler =
+        TargetScheduler(
+            vertx = vertx,
+            targetUrl = settings.targetUrl,
+            settings = TargetView.queueSettingsOf(window = 1),
+            call = client::run,
+            weightOf = { view?.weightOf(it) ?: 1 },
+            now = clock::now,
+        )
     private val guard = ArrivalGuard(incarnation, LimitTimes().permitValidity)
-    private val attempts = AttemptServer(table, guard, scope, client::run, ::loadReport, { _, _ -> }, clock::now)
-    private val items = ItemRunner(client::run, maximumTokens = { maximumTokensOf(it.model) })
+    private val attempts = AttemptServer(table, guard, scope, scheduler::run, ::loadReport, { _, _ -> }, clock::now)
+    private val items = ItemRunner(scheduler::run, maximumTokens = { view?.maximumTokensOf(it.model) ?: 1 })
     private val batch =
         BatchWorker(
             scope = scope,
             store = store,
             claimant = Claimant(settings.host.name, incarnation),
             rules = BatchRules(pause = 1.seconds),
-            target = BatchTarget(::servedModels, ::idleCapacity, items::run),
+            target = BatchTarget(models = { view?.models.orEmpty() }, ::idleCapacity, items::run),
             registry = registry,
-            weightOf = ::weightOf,
+            weightOf = { view?.weightOf(it) ?: 1 },
             now = clock::now,
         )
     private val operators = OperatorServer(vertx, registry, ready = { !draining }, status = ::status)
 
     @Volatile
-    private var inventory: Inventory? = null
+    private var view: TargetView? = null
 
     @Volatile
     private var draining = false
@@ -89,6 +95,7 @@
         return endpoint.listen(address, attempts::serve).map { bound ->
             operators.start(settings.host.address, settings.host.operatorPort)
             scope.launch { attempts.expireLoop() }
+            scope.launch { scheduler.tickLoop() }
             scope.launch { reportLoop() }
             scope.launch { PrefixWatcher(store, CONFIGURATION_PREFIX).follow { takeConfiguration(it.values) } }
             batch.start()
@@ -104,6 +111,7 @@
         attempts.broadcast(loadReport())
         member?.let { registration.remove(it) }
         batch.stop(BATCH_DRAIN)
+        scheduler.drain()
         while (attempts.running > 0) {
             delay(DRAIN_INTERVAL)
         }
@@ -122,25 +130,18 @@
             objects
                 .mapNotNull { StoredDocuments.decode(Configuration.serializer(), it.value).get() }
                 .maxByOrNull { it.revision.number } ?: return
-        inventory = newest.inventory
+        val current = TargetView(newest.inventory, settings.target)
+        view = current
+        scheduler.configure(current.queueSettings)
         logger.info("configuration {} in force", newest.revision)
     }
 
-    private fun targetOrNull(): Target? = inventory?.targets?.find { it.name == settings.target }
-
-    private fun servedModels(): Set<ModelName> = targetOrNull()?.models.orEmpty().toSet()
-
+    /** Items that may run now: what online requests leave of the window. */
     private fun idleCapacity(): Int {
-        val window = targetOrNull()?.window ?: 0
-        return (window - attempts.running).coerceAtLeast(0)
+        val load = scheduler.load
+        return if (draining) 0 else (load.window - load.onlineRunning - load.onlineQueued).coerceAtLeast(0)
     }
 
-    private fun weightOf(workspace: WorkspaceName): Int =
-        inventory?.workspaces?.find { it.name == workspace }?.weight ?: 1
-
-    private fun maximumTokensOf(model: ModelName): Int =
-        inventory?.models?.find { it.name == model }?.maximumTokens ?: 1
-
     private fun register(bound: WireAddress) {
         val registered =
             Member(
@@ -162,15 +163,17 @@
         }
     }
 
-    private fun loadReport(): LoadReport =
-        LoadReport(
+    private fun loadReport(): LoadReport {
+        val load = scheduler.load
+        return LoadReport(
             target = settings.target,
-            onlineQueued = 0,
-            onlineRunning = attempts.running,
-            window = DEFAULT_WINDOW,
-            draining = draining,
+            onlineQueued = load.onlineQueued,
+            onlineRunning = load.onlineRunning,
+            window = load.window,
+            draining = draining || view?.isLeaving != false,
             admission = guard.nonce(clock.now()),
         )
+    }
 
     private fun hello(): Hello =
         Hello(
@@ -186,7 +189,6 @@
 
     private companion object {
         const val CONFIGURATION_PREFIX = "configuration/"
-        const val DEFAULT_WINDOW = 16
         val BATCH_DRAIN = 5.seconds
         val REPORT_INTERVAL = 500.milliseconds
         val DRAIN_INTERVAL = 50.milliseconds
--- /dev/null
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/TargetView.kt
@@ -0,0 +1,41 @@
+package tanagerlane.sidecar
+
+import tanagerlane.inventory.Inventory
+import tanagerlane.inventory.Target
+import tanagerlane.model.ModelName
+import tanagerlane.model.TargetName
+import tanagerlane.model.WorkspaceName
+import tanagerlane.queueing.QueueSettings
+
+/** What an inventory says about one target. */
+internal class TargetView(
+    inventory: Inventory,
+    name: TargetName,
+) {
+    private val target: Target? = inventory.targets.find { it.name == name }
+    private val weights = inventory.workspaces.associate { it.name to it.weight }
+    private val maximumTokens = inventory.models.associate { it.name to it.maximumTokens }
+
+    /** Whether the target is unknown or operators are taking it out of service. */
+    val isLeaving: Boolean = target?.leaving ?: true
+
+    /** Models that the target serves. */
+    val models: Set<ModelName> = target?.models.orEmpty().toSet()
+
+    /** Limits of the queue before the target. */
+    val queueSettings: QueueSettings = queueSettingsOf(target?.window ?: 1)
+
+    /** Share of [workspace] relative to others; null stands for routes open to all. */
+    fun weightOf(workspace: WorkspaceName?): Int = weights[workspace] ?: 1
+
+    /** Most tokens that one request of [model] may generate. */
+    fun maximumTokensOf(model: ModelName): Int = maximumTokens[model] ?: 1
+
+    companion object {
+        private const val TOKENS_PER_SEQUENCE = 8_192
+
+        /** Limits of a queue before a target that runs [window] requests at once. */
+        fun queueSettingsOf(window: Int): QueueSettings =
+            QueueSettings(window = window, tokenBudget = window * TOKENS_PER_SEQUENCE)
+    }
+}
