--- a/tanagerlane-batch/src/main/kotlin/tanagerlane/jobs/BatchWorker.kt
+++ b/tanagerlane-batch/src/main/kotlin/tanagerlane/jobs/BatchWorker.kt
@@ -46,7 +46,8 @@
     private val claimWanted = Channel<Unit>(Channel.CONFLATED)
     private val board = JobBoard(store, metrics, rules.pause, ::boardChanged)
     private val claimer = ChunkClaimer(store, claimant, rules, metrics, weightOf, now)
-    private val dispatcher = ItemDispatcher(workerScope, target, held, now) { claimWanted.trySend(Unit) }
+    private val reaper = JobReaper(store, claimant, rules, board, metrics, now)
+    private val dispatcher = ItemDispatcher(workerScope, target, held, rules.pause, now) { claimWanted.trySend(Unit) }
     private val keepers = SupervisorJob(workerJob)
     private val keeperScope = CoroutineScope(scope.coroutineContext + keepers)
     private var claiming: Job? = null
@@ -59,6 +60,7 @@
         check(claiming == null) { "worker of ${claimant.owner} was started before" }
         workerScope.launch { board.follow() }
         workerScope.launch { dispatcher.run() }
+        workerScope.launch { reaper.run() }
         claiming = workerScope.launch { claimChunks() }
     }
 
--- a/tanagerlane-batch/src/main/kotlin/tanagerlane/jobs/ItemDispatcher.kt
+++ b/tanagerlane-batch/src/main/kotlin/tanagerlane/jobs/ItemDispatcher.kt
@@ -19,12 +19,14 @@
 /**
  * Runs the items of the held chunks, those of the chunk claimed first before others, as capacity allows.
  *
+ * @param idleInterval time between two looks at the capacity while no chunk is held
  * @param hungry called when there is capacity and no item to start
  */
 internal class ItemDispatcher(
     private val scope: CoroutineScope,
     private val target: BatchTarget,
     private val held: HeldChunks,
+    private val idleInterval: Duration,
     private val now: () -> Instant,
     private val hungry: () -> Unit,
 ) {
@@ -58,7 +60,7 @@
             if (spareCapacity > 0) {
                 hungry()
             }
-            withTimeoutOrNull(LOOK_INTERVAL) { wakeUps.receive() }
+            withTimeoutOrNull(if (held.size == 0) idleInterval else LOOK_INTERVAL) { wakeUps.receive() }
         }
     }
 
--- a/tanagerlane-batch/src/main/kotlin/tanagerlane/jobs/JobBoard.kt
+++ b/tanagerlane-batch/src/main/kotlin/tanagerlane/jobs/JobBoard.kt
@@ -12,9 +12,10 @@
 import tanagerlane.store.StoredObject
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
 
 /**
- * The open jobs, kept up to date by one watch over all headers.
+ * The open and the ended jobs, kept up to date by one watch over all headers.
  *
  * @param changed called after each change, with the keys of the jobs that ended
  */
@@ -26,10 +27,14 @@
 ) {
     private val lock = Any()
     private var open = emptyMap<ObjectKey, OpenJob>()
+    private val ended = HashMap<ObjectKey, Instant>()
 
     /** Returns the open jobs. */
     fun jobs(): Collection<OpenJob> = synchronized(lock) { open.values }
 
+    /** Returns the jobs that have ended and are still stored, with the times of their ends. */
+    fun endedJobs(): Map<ObjectKey, Instant> = synchronized(lock) { ended.toMap() }
+
     /** Returns whether the job whose header is at [key] is open. */
     fun isOpen(key: ObjectKey): Boolean = synchronized(lock) { key in open }
 
@@ -73,23 +78,34 @@
         key: ObjectKey,
         current: StoredObject?,
     ): Boolean {
-        val job = current?.let { openJob(it) }
+        val header = current?.let { header(it) }
+        val job = header?.takeIf { it.phase == JobPhase.OPEN }?.let { OpenJob(it, current.version) }
         return synchronized(lock) {
             val known = key in open
+            noteEnd(key, header)
             open = if (job == null) open - key else open + (key to job)
             known && job == null
         }
     }
 
-    private fun openJob(stored: StoredObject): OpenJob? {
-        val header =
-            stored.decoded<JobHeader>().getOrElse {
-                metrics.unreadable.increment()
-                return null
-            }
-        return OpenJob(header, stored.version).takeIf { header.phase == JobPhase.OPEN }
+    private fun noteEnd(
+        key: ObjectKey,
+        header: JobHeader?,
+    ) {
+        val endedAt = header?.endedAt
+        if (endedAt == null) {
+            ended.remove(key)
+        } else {
+            ended[key] = endedAt
+        }
     }
 
+    private fun header(stored: StoredObject): JobHeader? =
+        stored.decoded<JobHeader>().getOrElse {
+            metrics.unreadable.increment()
+            null
+        }
+
     private companion object {
         val WATCH_TIME: Duration = 30.seconds
     }
--- a/tanagerlane-batch/src/main/kotlin/tanagerlane/jobs/JobError.kt
+++ b/tanagerlane-batch/src/main/kotlin/tanagerlane/jobs/JobError.kt
@@ -5,6 +5,7 @@
 import tanagerlane.model.JobId
 import tanagerlane.store.ObjectKey
 import tanagerlane.store.StoreFailure
+import kotlin.time.Instant
 
 /** Why a call on a job did not succeed. */
 public sealed interface JobError {
@@ -13,6 +14,12 @@
         val job: JobId,
     ) : JobError
 
+    /** The results of the job, which ended at [endedAt], were deleted after their retention time. */
+    public data class Expired(
+        val job: JobId,
+        val endedAt: Instant,
+    ) : JobError
+
     /** The name of the workspace or of the job is empty or over [maximumLength] characters. */
     public data class InvalidName(
         val name: String,
--- a/tanagerlane-batch/src/main/kotlin/tanagerlane/jobs/JobReading.kt
+++ b/tanagerlane-batch/src/main/kotlin/tanagerlane/jobs/JobReading.kt
@@ -4,8 +4,6 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import tanagerlane.batch.JobKeys
-import tanagerlane.job.ChunkState
-import tanagerlane.job.JobHeader
 import tanagerlane.model.JobId
 import tanagerlane.model.WorkspaceName
 import tanagerlane.store.StoreFailure
@@ -24,19 +22,17 @@
     }
 }
 
-/** Returns the first page of results at or after [cursor]. */
-internal fun positionAt(
+/** Returns where to read on after the page at [cursor]. */
+internal fun nextOf(
     cursor: ResultCursor,
-    header: JobHeader,
-    states: Map<Int, ChunkState>,
-): ResultCursor? {
-    fun pagesOf(chunk: Int): Int = states[chunk]?.pages?.size ?: 0
-    if (cursor.chunk in 0..<header.chunkModels.size && cursor.page in 0..<pagesOf(cursor.chunk)) {
-        return cursor
+    pages: Int,
+    chunks: Int,
+): ResultCursor? =
+    when {
+        cursor.page + 1 < pages -> cursor.copy(page = cursor.page + 1)
+        cursor.chunk + 1 < chunks -> ResultCursor(cursor.chunk + 1, page = 0)
+        else -> null
     }
-    val chunk = (cursor.chunk + 1..<header.chunkModels.size).find { pagesOf(it) > 0 } ?: return null
-    return ResultCursor(chunk, page = 0)
-}
 
 /** Returns the number of the chunk whose state [stored] is. */
 internal fun chunkOf(stored: StoredObject): Int =
--- a/tanagerlane-batch/src/main/kotlin/tanagerlane/jobs/JobStore.kt
+++ b/tanagerlane-batch/src/main/kotlin/tanagerlane/jobs/JobStore.kt
@@ -5,6 +5,7 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.map
 import com.github.michaelbull.result.mapError
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.collect
@@ -13,8 +14,10 @@
 import tanagerlane.batch.JobKeys
 import tanagerlane.batch.doneItems
 import tanagerlane.job.ChunkState
+import tanagerlane.job.ExpiredJob
 import tanagerlane.job.JobHeader
 import tanagerlane.job.JobPhase
+import tanagerlane.job.PageName
 import tanagerlane.job.ResultPage
 import tanagerlane.model.JobId
 import tanagerlane.model.Payload
@@ -66,7 +69,7 @@
         return Ok(JobStatus(header, states.sumOf { it.doneItems }, states.sumOf { it.failed }))
     }
 
-    /** Returns the page of results at [cursor], or the next one that there is. */
+    /** Returns the page of results at [cursor], or the first one of a later chunk when there is none at it. */
     public suspend fun results(
         workspace: WorkspaceName,
         job: JobId,
@@ -74,13 +77,9 @@
     ): Result<JobResults, JobError> {
         val keys = keysOf(workspace, job).getOrElse { return Err(it) }
         val header = header(keys).getOrElse { return Err(it) }.value
-        val states = states(keys).getOrElse { return Err(it) }
-        val position = positionAt(cursor, header, states) ?: return Ok(JobResults(emptyList(), null))
-        val name = states.getValue(position.chunk).pages[position.page]
-        val stored = store.get(keys.pageKey(position.chunk, name)).mapError(::unavailable).getOrElse { return Err(it) }
-        val page = stored.decoded<ResultPage>().getOrElse { return Err(it) }
-        val next = positionAt(position.copy(page = position.page + 1), header, states)
-        return Ok(JobResults(page.results, next))
+        val pages = pagesAt(keys, cursor.chunk).getOrElse { return Err(it) }
+        val name = pages.getOrNull(cursor.page) ?: return resultsAfter(keys, cursor.chunk)
+        return page(keys, cursor, name, nextOf(cursor, pages.size, header.chunkModels.size))
     }
 
     /** Cancels a job; cancelling it again succeeds. Results so far stay readable. */
@@ -104,6 +103,42 @@
         return Err(errorOf(last))
     }
 
+    /** Returns the first page of the chunks after [chunk]. */
+    private suspend fun resultsAfter(
+        keys: JobKeys,
+        chunk: Int,
+    ): Result<JobResults, JobError> {
+        val states = states(keys).getOrElse { return Err(it) }
+        val (next, state) =
+            states.entries
+                .filter { it.key > chunk && it.value.pages.isNotEmpty() }
+                .minByOrNull { it.key } ?: return Ok(JobResults(emptyList(), null))
+        val cursor = ResultCursor(next, page = 0)
+        return page(keys, cursor, state.pages.first(), nextOf(cursor, state.pages.size, states.keys.max() + 1))
+    }
+
+    private suspend fun pagesAt(
+        keys: JobKeys,
+        chunk: Int,
+    ): Result<List<PageName>, JobError> {
+        val stored =
+            store.get(keys.stateKey(chunk)).getOrElse {
+                return if (it is StoreFailure.NotFound) Ok(emptyList()) else Err(unavailable(it))
+            }
+        return stored.decoded<ChunkState>().map { it.pages }
+    }
+
+    private suspend fun page(
+        keys: JobKeys,
+        cursor: ResultCursor,
+        name: PageName,
+        next: ResultCursor?,
+    ): Result<JobResults, JobError> {
+        val stored = store.get(keys.pageKey(cursor.chunk, name)).getOrElse { return Err(errorFor(keys, it)) }
+        val page = stored.decoded<ResultPage>().getOrElse { return Err(it) }
+        return Ok(JobResults(page.results, next))
+    }
+
     private suspend fun accept(
         submission: JobSubmission,
         keys: JobKeys,
@@ -172,15 +207,26 @@
         )
 
     private suspend fun header(keys: JobKeys): Result<Versioned<JobHeader>, JobError> {
-        val stored =
-            store
-                .get(keys.headerKey)
-                .mapError { if (it is StoreFailure.NotFound) JobError.NotFound(keys.job) else unavailable(it) }
-                .getOrElse { return Err(it) }
+        val stored = store.get(keys.headerKey).getOrElse { return Err(errorFor(keys, it)) }
         val header = stored.decoded<JobHeader>().getOrElse { return Err(it) }
         return Ok(Versioned(header, stored.version))
     }
 
+    /** Returns the error for a read of a job's object that failed. */
+    private suspend fun errorFor(
+        keys: JobKeys,
+        failure: StoreFailure,
+    ): JobError {
+        if (failure !is StoreFailure.NotFound) {
+            return unavailable(failure)
+        }
+        val stored =
+            store.get(keys.expiredKey).getOrElse {
+                return if (it is StoreFailure.NotFound) JobError.NotFound(keys.job) else unavailable(it)
+            }
+        return stored.decoded<ExpiredJob>().fold({ JobError.Expired(keys.job, it.endedAt) }, { it })
+    }
+
     private suspend fun states(keys: JobKeys): Result<Map<Int, ChunkState>, JobError> {
         val listing = store.list(keys.statePrefix).mapError(::unavailable).getOrElse { return Err(it) }
         return Ok(listing.objects.associate { chunkOf(it) to it.decoded<ChunkState>().getOrElse { return Err(it) } })
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/batch/BatchRules.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/batch/BatchRules.kt
@@ -1,6 +1,7 @@
 package tanagerlane.batch
 
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.hours
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -14,6 +15,8 @@
  * @property pause time between two tries of a call that the object API did not take, and between two looks for work
  * @property heldChunks most chunks that one process holds
  * @property windowItems most items that may run before the next checkpoint once a holder of the chunk was lost
+ * @property resultRetention time for which the results of an ended job stay readable
+ * @property expirySpread time over which processes begin to delete an expired job
  */
 public data class BatchRules(
     val itemAttempts: Int = 3,
@@ -24,6 +27,8 @@
     val pause: Duration = 5.seconds,
     val heldChunks: Int = 16,
     val windowItems: Int = 16,
+    val resultRetention: Duration = 72.hours,
+    val expirySpread: Duration = 1.hours,
 ) {
     init {
         require(itemAttempts in 1..MAXIMUM_ATTEMPTS) { "itemAttempts out of range: $itemAttempts" }
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/batch/JobKeys.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/batch/JobKeys.kt
@@ -20,6 +20,9 @@
     /** Key of the header. */
     public val headerKey: ObjectKey = ObjectKey("$HEADERS$path")
 
+    /** Key of what remains of the job once it has expired. */
+    public val expiredKey: ObjectKey = ObjectKey("jobs/expired/$path")
+
     /** Prefix of the chunk states. */
     public val statePrefix: String = "jobs/state/$path/"
 
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/batch/RendezvousOrder.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/batch/RendezvousOrder.kt
@@ -14,7 +14,8 @@
     return chunks.sortedBy { mixed(seed + it * MULTIPLIER) }
 }
 
-private fun mixed(value: Long): Long {
+/** Spreads the bits of [value] over the whole range. */
+internal fun mixed(value: Long): Long {
     val first = (value xor (value ushr FIRST_SHIFT)) * MULTIPLIER
     val second = (first xor (first ushr SECOND_SHIFT)) * MULTIPLIER
     return second xor (second ushr FIRST_SHIFT)
