Try a slot's write again when nobody reports a change

A write without a known outcome waited for the next observation, which a watcher makes only on changes, so a holder could stop renewing for good. An unresolved claim was not tried again either. Both failed in the new case of SlotLeasesTest before. Tests besides: terms of late answers, and requests under way when a loan ends.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/limits/SlotLeases.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/limits/SlotLeases.kt
@@ -158,7 +158,7 @@
         now: Instant,
     ): SlotWrite? {
         val state = slots[number]
-        val lease = state.lease?.takeIf { state.isReady } ?: return null
+        val lease = state.lease?.takeIf { state.isReady(now) } ?: return null
         val releaseAt = lease.releaseAt
         return when {
             releaseAt != null && now >= releaseAt -> {
@@ -183,10 +183,12 @@
         if (isStopping || slots.any { it.value?.isOfOtherFleet() == true }) {
             return emptyList()
         }
-        val ready = slots.indices.filter { slots[it].lease == null && slots[it].isReady }
+        val ready = slots.indices.filter { slots[it].lease == null && slots[it].isReady(now) }
         val former = ready.filter { slots[it].value?.holder == settings.host }
-        val free = ready.filter { isFree(it, now) }.sortedBy { preference(it) }
-        return (former + free.take((missing - former.size).coerceAtLeast(0))).map { number ->
+        val unresolved = ready.filter { slots[it].isClaiming }
+        val free = (ready - unresolved.toSet()).filter { isFree(it, now) }.sortedBy { preference(it) }
+        val wanted = free.take((missing - former.size).coerceAtLeast(0))
+        return (former + unresolved + wanted).distinct().map { number ->
             val wait = if (number in former) times.useTerm else Duration.ZERO
             slots[number].begin(own(number, null, peers), now, countedAfter = wait)
         }
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/limits/SlotState.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/limits/SlotState.kt
@@ -7,6 +7,7 @@
 import tanagerlane.store.ObjectVersion
 import tanagerlane.store.StoreFailure
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
 /** What this entry knows of one slot. */
@@ -18,7 +19,7 @@
     private var version: ObjectVersion? = null
     private var writing: SlotWrite? = null
     private var unconfirmed = emptyList<SlotWrite>()
-    private var mustObserve = true
+    private var retryAt = Instant.DISTANT_PAST
     private val promisesReceived = HashMap<HostName, Instant>()
     private var promisedUntil = Instant.DISTANT_PAST
 
@@ -31,10 +32,6 @@
     var lease: SlotLease? = null
         private set
 
-    /** Whether a write may be decided on. */
-    val isReady: Boolean
-        get() = writing == null && !mustObserve
-
     /** Whether this entry's claim is under way, perhaps with an outcome that is not known yet. */
     val isClaiming: Boolean
         get() = lease == null && possibleWrites().any { it.value.holder == settings.host }
@@ -47,6 +44,9 @@
     val possibleSuccessors: Set<HostName>
         get() = (possibleWrites().map { it.value.successor } + lease?.successor).filterNotNull().toSet()
 
+    /** Whether a write may be decided on at [now]. */
+    fun isReady(now: Instant): Boolean = writing == null && unchangedSince != Instant.DISTANT_FUTURE && now >= retryAt
+
     fun observe(
         record: SlotRecord,
         now: Instant,
@@ -55,7 +55,7 @@
         if (known != null && (record.version == null || record.version < known)) {
             return
         }
-        mustObserve = false
+        retryAt = Instant.DISTANT_PAST
         if (unchangedSince == Instant.DISTANT_FUTURE || record.version != known) {
             change(record.value, record.version, now)
         }
@@ -89,7 +89,7 @@
                 }
             },
             failure = { failure ->
-                mustObserve = failure is StoreFailure.Conflict || failure is StoreFailure.OutcomeUnknown
+                retryAt = now + RETRY_PAUSE
                 if (failure is StoreFailure.OutcomeUnknown && write.expected == version) {
                     unconfirmed = unconfirmed + write
                 }
@@ -182,4 +182,9 @@
         newValue.holder == settings.host && newValue.incarnation == settings.incarnation
 
     private fun possibleWrites(): List<SlotWrite> = unconfirmed + listOfNotNull(writing)
+
+    private companion object {
+        /** Time after a failed write before it is tried again, unless the object is read before. */
+        val RETRY_PAUSE = 1.seconds
+    }
 }
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/limits/FakeFleet.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/limits/FakeFleet.kt
@@ -252,6 +252,6 @@
         val INTENSITIES = listOf(0.0, 0.0, 0.2, 1.0, 3.0)
         const val LOSS = 0.01
         const val DUPLICATE = 0.02
-        const val SLOW = 0.01
+        const val SLOW = 0.03
     }
 }
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/limits/FleetLimiterTest.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/limits/FleetLimiterTest.kt
@@ -127,6 +127,39 @@
             }
         }
 
+        test("requests still under way when their pool's loans end count against the burst") {
+            val entries = Entries(Rate(perSecond = 100.0, burst = 8))
+            entries.admitted(lender, 10.seconds) shouldBe 8
+            entries.runUntil(10.1.seconds)
+            entries.isCut = true
+            entries.runUntil(11.9.seconds)
+            val underWay = (1..20).map { entries.limiters.getValue(pool).admit(key, start + 11.9.seconds) }
+            underWay.count { it is Admission.Admitted } shouldBe 8
+            entries.runUntil(13.8.seconds)
+            entries.admitted(pool, 13.85.seconds) + entries.admitted(lender, 13.85.seconds) shouldBe 0
+        }
+
+        test("the term of a loan runs from its call, however late the answer comes") {
+            for ((delay, expected) in listOf(100.milliseconds to 8, 1900.milliseconds to 8, 2100.milliseconds to 4)) {
+                val entries = Entries(Rate(perSecond = 100.0, burst = 8))
+                entries.runUntil(10.seconds)
+                entries.isCut = true
+                entries.admitted(pool, 10.seconds)
+                entries.runUntil(13.9.seconds)
+                val call =
+                    entries.limiters
+                        .getValue(pool)
+                        .tick(start + 14.seconds)
+                        .outgoing
+                        .first()
+                val answer = entries.limiters.getValue(lender).receive(pool, call.message, start + 14.seconds)
+                entries.isCut = false
+                entries.send(lender, answer.outgoing, 14.seconds + delay)
+                entries.isCut = true
+                (delay to entries.admitted(pool, 14.seconds + delay + 50.milliseconds)) shouldBe (delay to expected)
+            }
+        }
+
         test("a pool without requests gives its loans back with their tokens") {
             val entries = Entries()
             entries.admitted(lender, 10.seconds) shouldBe 8
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/limits/SlotLeasesTest.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/limits/SlotLeasesTest.kt
@@ -65,6 +65,14 @@
             leases.held(at(12)) shouldBe listOf(HeldSlot(0, countedFrom = at(3), validUntil = at(16)))
         }
 
+        test("a write whose answer was lost is tried again although nobody reports a change") {
+            val leases = leases("a", slotCount = 1)
+            leases.observe(listOf(SlotRecord(0, value = null, version = null)), at(0))
+            val write = leases.writes(listOf(peer("b")), at(1)).single()
+            leases.concluded(write, Err(StoreFailure.OutcomeUnknown("lost")), at(2))
+            leases.writes(listOf(peer("b")), at(3)) shouldBe listOf(write.copy(startedAt = at(3)))
+        }
+
         test("slots that are given up are released after their last use and can be claimed then") {
             val store = FakeStore(slotCount = 2)
             val leases = leases("a", slotCount = 2)
