--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/EntryDaemon.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/EntryDaemon.kt
@@ -14,8 +14,6 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
-import tanagerlane.attempts.AttemptAction
-import tanagerlane.attempts.AttemptEvent
 import tanagerlane.attempts.AttemptPolicy
 import tanagerlane.inventory.Configuration
 import tanagerlane.jobs.JobStore
@@ -25,14 +23,11 @@
 import tanagerlane.limits.SlotLeases
 import tanagerlane.limits.SlotSettings
 import tanagerlane.membership.Member
-import tanagerlane.message.ChatWork
 import tanagerlane.message.Hello
 import tanagerlane.message.HostRole
-import tanagerlane.message.ServiceWork
 import tanagerlane.message.WireMessage
 import tanagerlane.model.HostName
 import tanagerlane.model.Incarnation
-import tanagerlane.model.RefusalReason
 import tanagerlane.platform.HopTracer
 import tanagerlane.platform.MemberRegistration
 import tanagerlane.platform.MonotonicClock
@@ -68,11 +63,12 @@
     private val active = ActiveRequests()
     private val directory = EntryDirectory(settings.host.name)
     private val peers = PeerConnections(endpoint, scope, directory::addressOf, ::receive)
-    private val links = SidecarLinks(endpoint, scope, active, clock::now) { }
+    private val picker = TargetPicker(settings.host.failureDomain, clock::now)
+    private val links = SidecarLinks(endpoint, scope, active, picker, clock::now)
     private val limiter = FleetLimiter(LimiterSettings(settings.host.name, incarnation, settings.slots))
     private val rates = RateControl(limiter, ::send, clock::now)
     private val charging = Charging(rates, links::nonces)
-    private val runner = RequestRunner(links, active, ::pick, charging, AttemptPolicy(), clock::now)
+    private val runner = RequestRunner(links, active, picker, charging, AttemptPolicy(), clock::now)
     private val gate = Gate({ state }, { draining })
     private val online = OnlineRoutes(gate, charging, runner, tracer, clock::now)
     private val jobs = JobRoutes(gate, JobStore(store, newUpload = { UUID.randomUUID().toString() }), Clock.System::now)
@@ -91,6 +87,9 @@
     @Volatile
     private var member: Member? = null
 
+    @Volatile
+    private var knownMembers: List<Member> = emptyList()
+
     /** Port for callers, once started. */
     @Volatile
     public var callerPort: Int = 0
@@ -195,31 +194,23 @@
                 .maxByOrNull { it.revision.number } ?: return
         if (newest.revision.number > (state?.configuration?.revision?.number ?: 0)) {
             rates.configure(newest.inventory)
+            picker.configure(newest.inventory)
             state = EntryState(newest)
+            updateLinks()
             logger.info("configuration {} in force", newest.revision)
         }
     }
 
     private fun takeMembers(objects: Collection<StoredObject>) {
         val members = objects.mapNotNull { StoredDocuments.decode(Member.serializer(), it.value).get() }
-        links.update(members)
         directory.update(members)
+        knownMembers = members
+        updateLinks()
     }
 
-    private fun pick(
-        request: OnlineRequest,
-        action: AttemptAction.TryNext,
-    ): AttemptEvent {
-        val targets =
-            when (val work = request.work) {
-                is ChatWork -> state?.targetsOf(work.model)
-                is ServiceWork -> state?.targetsOf(work.service)
-            }.orEmpty()
-        val usable = targets.filter { it in request.charge.nonces && links.reports[it]?.draining != true }
-        val connected = usable.mapNotNull { target -> links.of(target)?.takeIf { it.incarnation != null } }
-        val link = connected.filterNot { it.target in action.tried }.randomOrNull() ?: connected.randomOrNull()
-        val incarnation = link?.incarnation ?: return AttemptEvent.NoTarget(RefusalReason.NO_TARGET)
-        return AttemptEvent.TargetPicked(link.target, incarnation)
+    private fun updateLinks() {
+        val used = state?.sidecarsUsedBy(settings.host.name) ?: return
+        links.update(knownMembers.filter { it.target in used })
     }
 
     private fun hello(): Hello =
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/EntryState.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/EntryState.kt
@@ -3,9 +3,10 @@
 import tanagerlane.inventory.Configuration
 import tanagerlane.inventory.Rules
 import tanagerlane.inventory.Service
-import tanagerlane.model.ModelName
+import tanagerlane.model.HostName
 import tanagerlane.model.ServiceName
 import tanagerlane.model.TargetName
+import tanagerlane.routing.SidecarSubset
 
 /** One configuration, indexed for serving callers. */
 internal class EntryState(
@@ -16,14 +17,19 @@
     val rules: Rules = configuration.inventory.rules
 
     private val services = configuration.inventory.services.associateBy { it.name }
-    private val serving = configuration.inventory.targets.filterNot { it.leaving }
 
     /** The service called [name], or null. */
     fun service(name: ServiceName): Service? = services[name]
 
-    /** Targets that serve [model] and are not leaving. */
-    fun targetsOf(model: ModelName): List<TargetName> = serving.filter { model in it.models }.map { it.name }
+    /** Targets to whose sidecars the entry [host] keeps connections: a bounded number for each model and service. */
+    fun sidecarsUsedBy(host: HostName): Set<TargetName> {
+        val inventory = configuration.inventory
+        val forModels = inventory.models.map { model -> inventory.targets.filter { model.name in it.models } }
+        val forServices = inventory.services.map { service -> inventory.targets.filter { service.name in it.services } }
+        return (forModels + forServices).flatMapTo(HashSet()) { SidecarSubset.of(host, it, SIDECARS_PER_SERVICE) }
+    }
 
-    /** Targets that offer [service] and are not leaving. */
-    fun targetsOf(service: ServiceName): List<TargetName> = serving.filter { service in it.services }.map { it.name }
+    private companion object {
+        const val SIDECARS_PER_SERVICE = 24
+    }
 }
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/JobRefusal.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/JobRefusal.kt
@@ -11,6 +11,10 @@
             refusal(RefusalReason.NOT_FOUND, "There is no job ${error.job}.")
         }
 
+        is JobError.Expired -> {
+            refusal(RefusalReason.NOT_FOUND, "The results are no longer kept.")
+        }
+
         is JobError.InvalidName -> {
             refusal(RefusalReason.MALFORMED, "The name ${error.name} is empty or too long.")
         }
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/RequestRunner.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/RequestRunner.kt
@@ -16,13 +16,11 @@
 
 /**
  * Carries requests to targets and their answers back.
- *
- * @param pick chooses a target for a request, other than those tried already where it can
  */
 internal class RequestRunner(
     private val links: SidecarLinks,
     private val active: ActiveRequests,
-    private val pick: (OnlineRequest, AttemptAction.TryNext) -> AttemptEvent,
+    private val picker: TargetPicker,
     private val charging: Charging,
     private val policy: AttemptPolicy,
     private val now: () -> Instant,
@@ -47,6 +45,7 @@
         private val sink: CallerSink,
     ) {
         private var isSettled = false
+        private var target: TargetName? = null
 
         private val tracker = AttemptTracker(TrackedRequest(request.id, request.idempotent, request.deadline), policy)
         private var timerAt = request.deadline
@@ -60,6 +59,7 @@
                 }
             } finally {
                 settle()
+                leaveTarget()
             }
         }
 
@@ -79,20 +79,32 @@
 
         /** Picks the next target; a request whose charge has lapsed is charged anew first. */
         private suspend fun next(action: AttemptAction.TryNext): AttemptEvent {
+            leaveTarget()
             if (now() < request.charge.permit.validUntil) {
-                return pick(request, action)
+                return pick(action)
             }
             settle()
             return charging.charge(request.charge.key).mapBoth(
                 success = { charge ->
                     request = request.copy(charge = charge)
                     isSettled = false
-                    pick(request, action)
+                    pick(action)
                 },
                 failure = { AttemptEvent.NoTarget(it.reason) },
             )
         }
 
+        private fun pick(action: AttemptAction.TryNext): AttemptEvent {
+            val event = picker.pick(request, action)
+            target = (event as? AttemptEvent.TargetPicked)?.target
+            return event
+        }
+
+        private fun leaveTarget() {
+            target?.let { picker.finished(it) }
+            target = null
+        }
+
         private suspend fun perform(action: AttemptAction) {
             when (action) {
                 is AttemptAction.TryNext -> events.send(next(action))
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/SidecarLink.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/SidecarLink.kt
@@ -38,6 +38,9 @@
     @Volatile
     private var current: OpenConnection? = null
 
+    @Volatile
+    private var retired = false
+
     /** Incarnation of the connected sidecar, or null while there is no connection. */
     val incarnation: Incarnation?
         get() =
@@ -51,6 +54,14 @@
         job = scope.launch { connectLoop(this) }
     }
 
+    /** Makes no further connection; the present one stays until the sidecar ends it. */
+    fun retire() {
+        retired = true
+    }
+
+    /** Whether the link makes no further connection. */
+    val isRetired: Boolean get() = retired
+
     fun stop() {
         job?.cancel()
         current?.connection?.close()
@@ -88,7 +99,7 @@
             logger.warn("sidecar of {} has registered the invalid address {}", target, member.address)
             return
         }
-        while (scope.isActive) {
+        while (scope.isActive && !retired) {
             endpoint
                 .connect(address, member.host)
                 .onOk { follow(it) }
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/SidecarLinks.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/SidecarLinks.kt
@@ -14,14 +14,14 @@
 /**
  * Connections to the sidecars that this entry uses.
  *
- * @param onLoad hears of each report of load
+ * @param picker hears of connections and loads
  */
 internal class SidecarLinks(
     private val endpoint: WireEndpoint,
     private val scope: CoroutineScope,
     private val active: ActiveRequests,
+    private val picker: TargetPicker,
     private val now: () -> Instant,
-    private val onLoad: (LoadReport) -> Unit,
 ) {
     private val links = ConcurrentHashMap<TargetName, MemberLink>()
 
@@ -42,13 +42,24 @@
     /** Targets whose sidecars are connected. */
     fun connected(): List<TargetName> = links.values.filter { it.link.incarnation != null }.map { it.link.target }
 
-    /** Follows the registrations: links to new and restarted sidecars are made. */
+    /**
+     * Follows the registrations of the sidecars that this entry uses.
+     *
+     * A link to one that is not among [members] any more is kept until the sidecar ends it.
+     */
     fun update(members: List<Member>) {
-        for (member in members) {
-            val target = member.target ?: continue
-            if (links[target]?.member != member) {
-                links.put(target, link(target, member))?.link?.stop()
-            }
+        val byTarget = members.filter { it.target != null }.associateBy { it.target }
+        links.values.filter { it.member.target !in byTarget }.forEach { it.link.retire() }
+        byTarget.forEach { (target, member) -> target?.let { follow(it, member) } }
+    }
+
+    private fun follow(
+        target: TargetName,
+        member: Member,
+    ) {
+        val present = links[target]
+        if (present == null || present.link.isRetired || present.member != member) {
+            links.put(target, link(target, member))?.link?.stop()
         }
     }
 
@@ -70,8 +81,9 @@
         val message: WireMessage? = (event as? AttemptEvent.Received)?.message
         if (message is LoadReport) {
             synchronized(this) { reports = reports + (message.target to message) }
-            onLoad(message)
+            picker.reported(message)
         } else {
+            picker.connectionChanged(event)
             active.deliver(event)
         }
     }
