--- a/tanagerlane-core/src/main/kotlin/tanagerlane/configuration/ConfigurationDifference.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/configuration/ConfigurationDifference.kt
@@ -4,9 +4,6 @@
 import tanagerlane.inventory.Inventory
 import tanagerlane.message.ConfigurationChange
 
-/** Changes that a configuration remembers for writers whose answer was lost. */
-internal const val ACCEPTED_KEPT = 16
-
 /** Returns the change from [from] to [to], or null where it can't be told as one because entries changed places. */
 internal fun differenceOf(
     from: Configuration,
@@ -43,7 +40,7 @@
         inventory = inventory.changedBy(change),
         keys = merged(keys, change.keys, change.removedKeys) { it.digest },
         inventoryRevision = change.inventoryRevision,
-        accepted = (accepted + change.accepted).takeLast(ACCEPTED_KEPT),
+        accepted = (accepted + change.accepted).takeLast(ConfigurationCodec.ACCEPTED_KEPT),
     )
 }
 
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/configuration/ConfigurationState.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/configuration/ConfigurationState.kt
@@ -1,6 +1,5 @@
 package tanagerlane.configuration
 
-import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.mapBoth
 import tanagerlane.inventory.Configuration
 import tanagerlane.message.ConfigurationAnnounce
@@ -10,7 +9,6 @@
 import tanagerlane.message.WireMessage
 import tanagerlane.model.FailureDomain
 import tanagerlane.model.HostName
-import tanagerlane.model.Payload
 import tanagerlane.model.Revision
 import kotlin.time.Instant
 
@@ -50,14 +48,16 @@
             null
         }
 
-    /** The store answered a call that was sent at [sentAt] with the document [content]. */
+    /** The store answered a call that was sent at [sentAt] with [configuration]. */
     public fun storeFound(
-        content: Payload,
+        configuration: Configuration,
         sentAt: Instant,
         now: Instant,
     ): ConfigurationStep =
         step(now) {
-            offer(ConfigurationCodec.decode(content)) { confirmed(it.revision, sentAt) }
+            accept(configuration)
+            confirmed(configuration.revision, sentAt)
+            null
         }
 
     /** The store answered a call that was sent at [sentAt] that the document still has [revision]. */
@@ -87,7 +87,7 @@
         when (message) {
             is ConfigurationAsk -> answer(from, message, now)
             is ConfigurationAnnounce -> step(now) { announced(from, message, now) }
-            is ConfigurationDocument -> step(now) { offer(ConfigurationCodec.decode(message.content)) }
+            is ConfigurationDocument -> step(now) { received(message) }
             is ConfigurationChanges -> step(now) { changed(message) }
             else -> ConfigurationStep(sends = emptyList())
         }
@@ -174,14 +174,10 @@
         return null
     }
 
-    private fun offer(
-        decoded: Result<Configuration, ConfigurationFault>,
-        onDecoded: (Configuration) -> Unit = {},
-    ): ConfigurationFault? =
-        decoded.mapBoth(
+    private fun received(message: ConfigurationDocument): ConfigurationFault? =
+        ConfigurationCodec.decode(message.content).mapBoth(
             success = {
                 accept(it)
-                onDecoded(it)
                 null
             },
             failure = { it },
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/configuration/ConfigurationDocumentTest.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/configuration/ConfigurationDocumentTest.kt
@@ -38,11 +38,17 @@
             ConfigurationCodec.decode(content).get() shouldBe configuration
         }
 
-        test("content that is no document is refused whatever byte is damaged") {
-            val content = ConfigurationCodec.encode(Configurations.of(revision = 1)).toByteArray()
-            val damaged =
-                content.indices.map { content.take(it).toByteArray() } +
-                    listOf("text".encodeToByteArray(), ByteArray(0))
+        test("content that is no document is refused wherever it is cut off") {
+            val plain = ConfigurationCodec.encode(Configurations.of(revision = 1)).toByteArray()
+            val compressed =
+                ConfigurationCodec
+                    .encode(
+                        Configurations.of(revision = 1, workspaces = 2_000),
+                    ).toByteArray()
+            val cut =
+                plain.indices.map { plain.take(it).toByteArray() } +
+                    listOf(compressed.take(compressed.size / 2).toByteArray())
+            val damaged = cut + listOf("text".encodeToByteArray(), byteArrayOf(0x1f))
             damaged.map { ConfigurationCodec.decode(Payload.of(it)).getError() }.forEach {
                 it.shouldBeInstanceOf<ConfigurationFault.Undecodable>()
             }
@@ -84,9 +90,15 @@
 
         test("a lower revision is not taken from anyone") {
             val state = stateWith(Configurations.of(revision = 5))
-            val older = ConfigurationCodec.encode(Configurations.of(revision = 4))
+            val older = Configurations.of(revision = 4)
             state.storeFound(older, START, START).accepted shouldBe null
-            state.receive(HostName("peer"), ConfigurationDocument(older), START).accepted shouldBe null
+            state
+                .receive(
+                    HostName("peer"),
+                    ConfigurationDocument(ConfigurationCodec.encode(older)),
+                    START,
+                ).accepted shouldBe
+                null
             state.current?.configuration?.revision shouldBe Revision(5)
         }
 
@@ -106,7 +118,7 @@
 
 private fun stateWith(configuration: Configuration): ConfigurationState {
     val state = ConfigurationState(FailureDomain("site-1"), firstNonce = 1)
-    state.storeFound(ConfigurationCodec.encode(configuration), START, START)
+    state.storeFound(configuration, START, START)
     return state
 }
 
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/configuration/Configurations.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/configuration/Configurations.kt
@@ -45,7 +45,14 @@
                         },
                 ),
             keys = (1..workspaces).flatMap { workspace -> (1..keysEach).map { key(workspace, it, random) } },
-            accepted = (1..revision).map { AcceptedChange("change-$it", Revision(it)) }.takeLast(ACCEPTED_KEPT),
+            accepted =
+                (1..revision)
+                    .map {
+                        AcceptedChange(
+                            "change-$it",
+                            Revision(it),
+                        )
+                    }.takeLast(ConfigurationCodec.ACCEPTED_KEPT),
         )
     }
 
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/configuration/FakeFleet.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/configuration/FakeFleet.kt
@@ -4,7 +4,6 @@
 import tanagerlane.message.WireMessage
 import tanagerlane.model.FailureDomain
 import tanagerlane.model.HostName
-import tanagerlane.model.Payload
 import tanagerlane.model.Revision
 import java.util.PriorityQueue
 import kotlin.random.Random
@@ -37,7 +36,6 @@
     private val events = PriorityQueue<Event>(compareBy({ it.at }, { it.order }))
     private var order = 0L
     private var stored: Configuration? = null
-    private var content: Payload? = null
 
     init {
         nodes.values.forEach { start(it) }
@@ -90,7 +88,6 @@
     fun write(configuration: Configuration) {
         if (storeDown || storeSilent) return
         stored = configuration
-        content = ConfigurationCodec.encode(configuration)
     }
 
     /** A watcher writes to the store which revision its failure domain holds. */
@@ -151,7 +148,7 @@
         }
         if (!reachesStore(node)) return
         after(storeLatency / 2) {
-            val found = content
+            val found = stored
             after(storeLatency / 2) {
                 answered = true
                 if (found != null && node.life == life) send(node, node.state.storeFound(found, sentAt, now))
