--- a/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/demo/DemoCommand.kt
+++ b/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/demo/DemoCommand.kt
@@ -14,13 +14,13 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import tanagerlane.cli.daemon.runUntilStopped
 import tanagerlane.cli.daemon.settingsOf
+import tanagerlane.configuration.ConfigurationCodec
 import tanagerlane.configuration.SettingsReader
 import tanagerlane.inventory.CallerKey
 import tanagerlane.inventory.Configuration
 import tanagerlane.inventory.Inventory
 import tanagerlane.model.KeyDigest
 import tanagerlane.model.Revision
-import tanagerlane.platform.StoredDocuments
 import tanagerlane.store.ObjectKey
 import java.nio.file.Path
 import java.security.MessageDigest
@@ -66,7 +66,7 @@
         deployment.start(port)
         val callerKey = CallerKey(digestOf(key), inventory.workspaces.first().name, "demo")
         val document = Configuration(Revision(1), inventory, listOf(callerKey))
-        val payload = StoredDocuments.encode(Configuration.serializer(), document)
+        val payload = ConfigurationCodec.encode(document)
         deployment.memoryStore
             .put(ObjectKey("configuration/current"), payload, null)
             .getOrElse { throw PrintMessage("tanagerlane: $it", statusCode = 1, printError = true) }
--- a/tanagerlane-cli/src/test/kotlin/tanagerlane/cli/demo/LocalDeploymentTest.kt
+++ b/tanagerlane-cli/src/test/kotlin/tanagerlane/cli/demo/LocalDeploymentTest.kt
@@ -8,12 +8,12 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
+import tanagerlane.configuration.ConfigurationCodec
 import tanagerlane.configuration.SettingsReader
 import tanagerlane.inventory.CallerKey
 import tanagerlane.inventory.Configuration
 import tanagerlane.model.KeyDigest
 import tanagerlane.model.Revision
-import tanagerlane.platform.StoredDocuments
 import tanagerlane.store.ObjectKey
 import java.net.URI
 import java.net.http.HttpClient
@@ -39,7 +39,7 @@
                 val configuration = Configuration(Revision(1), inventory, listOf(key))
                 deployment.memoryStore.put(
                     ObjectKey("configuration/current"),
-                    StoredDocuments.encode(Configuration.serializer(), configuration),
+                    ConfigurationCodec.encode(configuration),
                     null,
                 )
                 deployment.awaitReady()
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/EntryDaemon.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/EntryDaemon.kt
@@ -15,8 +15,10 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
 import tanagerlane.attempts.AttemptPolicy
+import tanagerlane.configuration.RelayMember
 import tanagerlane.inventory.Configuration
 import tanagerlane.jobs.JobStore
+import tanagerlane.limits.EntryPeer
 import tanagerlane.limits.FleetLimiter
 import tanagerlane.limits.LimiterSettings
 import tanagerlane.limits.Outgoing
@@ -34,10 +36,12 @@
 import tanagerlane.platform.OperatorServer
 import tanagerlane.platform.PrefixWatcher
 import tanagerlane.platform.StoredDocuments
+import tanagerlane.platform.configuration.ConfigurationFollower
 import tanagerlane.platform.openTelemetryOf
 import tanagerlane.settings.EntrySettings
 import tanagerlane.store.ObjectStore
 import tanagerlane.store.StoredObject
+import tanagerlane.wire.MemberDirectory
 import tanagerlane.wire.PeerConnections
 import tanagerlane.wire.WireAddress
 import tanagerlane.wire.WireEndpoint
@@ -61,15 +65,24 @@
     private val tracer = HopTracer(openTelemetryOf(settings.host, "tanagerlane-entry"))
     private val endpoint = WireEndpoint(hello(), scope, now = clock::now)
     private val active = ActiveRequests()
-    private val directory = EntryDirectory(settings.host.name)
+    private val directory = MemberDirectory(settings.host.name)
     private val peers = PeerConnections(endpoint, scope, directory::addressOf, ::receive)
+    private val follower =
+        ConfigurationFollower(
+            host = settings.host.name,
+            failureDomain = settings.host.failureDomain,
+            store = store,
+            send = peers::send,
+            now = clock::now,
+            onAccepted = ::takeConfiguration,
+        )
     private val picker = TargetPicker(settings.host.failureDomain, clock::now)
     private val links = SidecarLinks(endpoint, scope, active, picker, clock::now)
     private val limiter = FleetLimiter(LimiterSettings(settings.host.name, incarnation, settings.slots))
     private val rates = RateControl(limiter, ::send, clock::now)
     private val charging = Charging(rates, links::nonces)
     private val runner = RequestRunner(links, active, picker, charging, AttemptPolicy(), clock::now)
-    private val gate = Gate({ state }, { draining })
+    private val gate = Gate({ state?.takeIf { follower.serves } }, { draining })
     private val online = OnlineRoutes(gate, charging, runner, tracer, clock::now)
     private val jobs = JobRoutes(gate, JobStore(store, newUpload = { UUID.randomUUID().toString() }), Clock.System::now)
     private val callers = CallerServer(vertx, online, jobs) { _, _ -> }
@@ -87,9 +100,6 @@
     @Volatile
     private var member: Member? = null
 
-    @Volatile
-    private var knownMembers: List<Member> = emptyList()
-
     /** Port for callers, once started. */
     @Volatile
     public var callerPort: Int = 0
@@ -107,7 +117,7 @@
         return endpoint.listen(address, peers::serve).map { bound ->
             startRates(bound)
             register(bound)
-            scope.launch { PrefixWatcher(store, CONFIGURATION_PREFIX).follow { takeConfiguration(it.values) } }
+            scope.launch { follower.run() }
             scope.launch { PrefixWatcher(store, MemberRegistration.PREFIX).follow { takeMembers(it.values) } }
             operators.start(settings.host.address, settings.host.operatorPort)
             callerPort = callers.start(settings.host.address, settings.callerPort)
@@ -148,14 +158,14 @@
         val leases = SlotLeases(slotSettings, settings.host.failureDomain)
         val keeper =
             SlotKeeper(
-                settings.host.name,
-                settings.slots,
-                leases,
-                limiter,
-                store,
-                directory::peers,
-                ::send,
-                clock::now,
+                host = settings.host.name,
+                slotCount = settings.slots,
+                leases = leases,
+                limiter = limiter,
+                store = store,
+                peers = { directory.otherEntries.map { EntryPeer(it.host, it.failureDomain) } },
+                send = ::send,
+                now = clock::now,
             )
         slots = keeper
         keeper.start(scope)
@@ -184,33 +194,27 @@
         message: WireMessage,
     ) {
         rates.receive(from, message)
+        follower.receive(from, message)
         slots?.receive(from, message)
     }
 
-    private fun takeConfiguration(objects: Collection<StoredObject>) {
-        val newest =
-            objects
-                .mapNotNull { StoredDocuments.decode(Configuration.serializer(), it.value).get() }
-                .maxByOrNull { it.revision.number } ?: return
-        if (newest.revision.number > (state?.configuration?.revision?.number ?: 0)) {
-            rates.configure(newest.inventory)
-            picker.configure(newest.inventory)
-            state = EntryState(newest)
-            updateLinks()
-            logger.info("configuration {} in force", newest.revision)
-        }
+    private fun takeConfiguration(configuration: Configuration) {
+        rates.configure(configuration.inventory)
+        picker.configure(configuration.inventory)
+        state = EntryState(configuration)
+        updateLinks()
     }
 
     private fun takeMembers(objects: Collection<StoredObject>) {
         val members = objects.mapNotNull { StoredDocuments.decode(Member.serializer(), it.value).get() }
         directory.update(members)
-        knownMembers = members
+        follower.replaceMembers(members.mapTo(HashSet()) { RelayMember(it.host, it.failureDomain) })
         updateLinks()
     }
 
     private fun updateLinks() {
         val used = state?.sidecarsUsedBy(settings.host.name) ?: return
-        links.update(knownMembers.filter { it.target in used })
+        links.update(directory.members.filter { it.target in used })
     }
 
     private fun hello(): Hello =
@@ -226,7 +230,6 @@
         """{"role":"entry","host":"${settings.host.name}","revision":${state?.configuration?.revision ?: 0}}"""
 
     private companion object {
-        const val CONFIGURATION_PREFIX = "configuration/"
         val DRAIN_INTERVAL = 50.milliseconds
         val RELEASE_BOUND = 15.seconds
         val logger = LoggerFactory.getLogger(EntryDaemon::class.java)
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/EntryState.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/EntryState.kt
@@ -3,21 +3,30 @@
 import tanagerlane.inventory.Configuration
 import tanagerlane.inventory.Rules
 import tanagerlane.inventory.Service
+import tanagerlane.keys.KeyRing
+import tanagerlane.keys.PresentedKey
 import tanagerlane.model.HostName
 import tanagerlane.model.ServiceName
 import tanagerlane.model.TargetName
+import tanagerlane.model.WorkspaceName
 import tanagerlane.routing.SidecarSubset
 
 /** One configuration, indexed for serving callers. */
 internal class EntryState(
     val configuration: Configuration,
 ) {
-    val keys: KeyLookup = KeyLookup(configuration.keys)
+    private val keys = KeyRing.of(configuration)
     val chatParser: ChatRequestParser = ChatRequestParser(configuration.inventory.models)
     val rules: Rules = configuration.inventory.rules
 
     private val services = configuration.inventory.services.associateBy { it.name }
 
+    /** Workspace of the key in the header [authorization], or null when there is no valid key. */
+    fun workspaceOf(authorization: String?): WorkspaceName? {
+        val key = authorization?.takeIf { it.startsWith(KEY_SCHEME) } ?: return null
+        return keys.find(PresentedKey(key.removePrefix(KEY_SCHEME)))?.workspace
+    }
+
     /** The service called [name], or null. */
     fun service(name: ServiceName): Service? = services[name]
 
@@ -30,6 +39,7 @@
     }
 
     private companion object {
+        const val KEY_SCHEME = "Bearer "
         const val SIDECARS_PER_SERVICE = 24
     }
 }
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/Gate.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/Gate.kt
@@ -31,7 +31,7 @@
         current: EntryState,
         exchange: CallerExchange,
     ): Result<WorkspaceName, Refusal> {
-        val workspace = current.keys.workspaceOf(exchange.header("authorization"))
+        val workspace = current.workspaceOf(exchange.header("authorization"))
         exchange.workspace = workspace
         return if (workspace == null) refused(RefusalReason.NO_KEY) else Ok(workspace)
     }
--- a/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/AttemptServer.kt
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/AttemptServer.kt
@@ -20,6 +20,7 @@
 import tanagerlane.message.Resolve
 import tanagerlane.message.WireMessage
 import tanagerlane.model.AttemptId
+import tanagerlane.model.HostName
 import tanagerlane.model.RefusalReason
 import tanagerlane.wire.WireConnection
 import java.util.concurrent.ConcurrentHashMap
@@ -39,7 +40,7 @@
     private val scope: CoroutineScope,
     private val run: suspend (Offer, AnswerSink) -> Unit,
     private val greet: () -> WireMessage,
-    private val handleOther: suspend (WireConnection, WireMessage) -> Unit,
+    private val handleOther: suspend (HostName, WireMessage) -> Unit,
     private val now: () -> Instant,
 ) {
     private val connections = ConcurrentHashMap<SessionId, WireConnection>()
@@ -83,7 +84,7 @@
             is Offer -> offer(connection, message)
             is Resolve -> table.resolve(message, connection.session, now()).forEach { connection.send(it) }
             is Cancel -> cancel(message)
-            else -> handleOther(connection, message)
+            else -> handleOther(connection.peer.host, message)
         }
     }
 
--- a/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/SidecarDaemon.kt
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/SidecarDaemon.kt
@@ -16,6 +16,7 @@
 import tanagerlane.attempts.AttemptTable
 import tanagerlane.batch.BatchRules
 import tanagerlane.batch.Claimant
+import tanagerlane.configuration.RelayMember
 import tanagerlane.inventory.Configuration
 import tanagerlane.jobs.BatchTarget
 import tanagerlane.jobs.BatchWorker
@@ -25,16 +26,21 @@
 import tanagerlane.message.Hello
 import tanagerlane.message.HostRole
 import tanagerlane.message.LoadReport
+import tanagerlane.message.WireMessage
+import tanagerlane.model.HostName
 import tanagerlane.model.Incarnation
 import tanagerlane.platform.MemberRegistration
 import tanagerlane.platform.MonotonicClock
 import tanagerlane.platform.OperatorServer
 import tanagerlane.platform.PrefixWatcher
 import tanagerlane.platform.StoredDocuments
+import tanagerlane.platform.configuration.ConfigurationFollower
 import tanagerlane.settings.SidecarSettings
 import tanagerlane.sidecar.engine.TargetScheduler
 import tanagerlane.store.ObjectStore
 import tanagerlane.store.StoredObject
+import tanagerlane.wire.MemberDirectory
+import tanagerlane.wire.PeerConnections
 import tanagerlane.wire.WireAddress
 import tanagerlane.wire.WireEndpoint
 import tanagerlane.wire.WireFault
@@ -55,6 +61,17 @@
     private val client = TargetClient(vertx, settings.targetUrl)
     private val endpoint = WireEndpoint(hello(), scope, now = clock::now)
     private val registration = MemberRegistration(store)
+    private val directory = MemberDirectory(settings.host.name)
+    private val peers = PeerConnections(endpoint, scope, directory::addressOf, ::receive)
+    private val follower =
+        ConfigurationFollower(
+            host = settings.host.name,
+            failureDomain = settings.host.failureDomain,
+            store = store,
+            send = peers::send,
+            now = clock::now,
+            onAccepted = ::takeConfiguration,
+        )
     private val scheduler =
         TargetScheduler(
             vertx = vertx,
@@ -65,7 +82,7 @@
             now = clock::now,
         )
     private val guard = ArrivalGuard(incarnation, LimitTimes().permitValidity)
-    private val attempts = AttemptServer(table, guard, scope, scheduler::run, ::loadReport, { _, _ -> }, clock::now)
+    private val attempts = AttemptServer(table, guard, scope, scheduler::run, ::loadReport, ::receive, clock::now)
     private val items = ItemRunner(scheduler::run, maximumTokens = { view?.maximumTokensOf(it.model) ?: 1 })
     private val batch =
         BatchWorker(
@@ -97,7 +114,8 @@
             scope.launch { attempts.expireLoop() }
             scope.launch { scheduler.tickLoop() }
             scope.launch { reportLoop() }
-            scope.launch { PrefixWatcher(store, CONFIGURATION_PREFIX).follow { takeConfiguration(it.values) } }
+            scope.launch { follower.run() }
+            scope.launch { PrefixWatcher(store, MemberRegistration.PREFIX).follow { takeMembers(it.values) } }
             batch.start()
             register(bound)
             logger.info("sidecar of {} listens on {}", settings.target, bound)
@@ -125,15 +143,23 @@
         operators.stop()
     }
 
-    private fun takeConfiguration(objects: Collection<StoredObject>) {
-        val newest =
-            objects
-                .mapNotNull { StoredDocuments.decode(Configuration.serializer(), it.value).get() }
-                .maxByOrNull { it.revision.number } ?: return
-        val current = TargetView(newest.inventory, settings.target)
+    private fun receive(
+        from: HostName,
+        message: WireMessage,
+    ) {
+        follower.receive(from, message)
+    }
+
+    private fun takeConfiguration(configuration: Configuration) {
+        val current = TargetView(configuration.inventory, settings.target)
         view = current
         scheduler.configure(current.queueSettings)
-        logger.info("configuration {} in force", newest.revision)
+    }
+
+    private fun takeMembers(objects: Collection<StoredObject>) {
+        val members = objects.mapNotNull { StoredDocuments.decode(Member.serializer(), it.value).get() }
+        directory.update(members)
+        follower.replaceMembers(members.mapTo(HashSet()) { RelayMember(it.host, it.failureDomain) })
     }
 
     /** Items that may run now: what online requests leave of the window. */
@@ -188,7 +214,6 @@
         """{"role":"sidecar","host":"${settings.host.name}","target":"${settings.target}","running":${attempts.running}}"""
 
     private companion object {
-        const val CONFIGURATION_PREFIX = "configuration/"
         val BATCH_DRAIN = 5.seconds
         val REPORT_INTERVAL = 500.milliseconds
         val DRAIN_INTERVAL = 50.milliseconds
--- /dev/null
+++ b/tanagerlane-wire/src/main/kotlin/tanagerlane/wire/MemberDirectory.kt
@@ -0,0 +1,28 @@
+package tanagerlane.wire
+
+import tanagerlane.membership.Member
+import tanagerlane.message.HostRole
+import tanagerlane.model.HostName
+
+/** The processes of the system as they have registered. */
+public class MemberDirectory(
+    private val own: HostName,
+) {
+    @Volatile
+    private var byHost: Map<HostName, Member> = emptyMap()
+
+    /** All processes that are known, this one included. */
+    public val members: Collection<Member> get() = byHost.values
+
+    /** Entries other than this process. */
+    public val otherEntries: List<Member>
+        get() = byHost.values.filter { it.role == HostRole.ENTRY && it.host != own }
+
+    /** Replaces what is known by [members]. */
+    public fun update(members: Collection<Member>) {
+        byHost = members.associateBy { it.host }
+    }
+
+    /** Where [host] listens, or null when it isn't registered. */
+    public fun addressOf(host: HostName): WireAddress? = byHost[host]?.let { WireAddress.parse(it.address) }
+}
