Agree claims on calls that may not be repeated before they are run

Repeats with an idempotency key meet at a home sidecar. Those of calls that may be repeated are joined there in memory. For the others the home first writes a claim: 1024 objects hold all claims, each has one home, and claims that come while a call is under way go out together, so writes rise with busy shards and round trips rather than with calls. Exclusion does not rest on the home: two hosts that both take themselves for it meet in the conditional update.

Weighed: one object a claim needs a write for each call, which at some hundred calls a second is the whole budget; a claim in the home's memory alone cannot tell a repeat after the home is lost whether the first run happened. Store down: refused as not run, which is a refusal that a claim in memory would avoid; kept, since a second run costs more than a refusal. Home lost: unknown, or the kept answer where it was small.

Limits: 2000 claims a shard for 24 hours is about 23 claims a second on the whole; the number of shards cannot be changed while claims stand.

--- /dev/null
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/idempotency/ClaimShardTest.kt
@@ -0,0 +1,203 @@
+package tanagerlane.idempotency
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import tanagerlane.model.Incarnation
+import tanagerlane.model.Payload
+import tanagerlane.model.RefusalReason
+import tanagerlane.model.RequestId
+import tanagerlane.model.RunState
+import tanagerlane.model.TargetName
+import tanagerlane.model.WorkspaceName
+import tanagerlane.store.ObjectVersion
+import tanagerlane.store.StoreFailure
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.hours
+import kotlin.time.Instant
+
+class ClaimShardTest :
+    FunSpec({
+        test("claims that come together are agreed in one write, and repeats join the run") {
+            val shard = loadedShard()
+            List(3) { shard.ask(claim("key-$it", "request-$it")) } shouldBe listOf(null, null, null)
+            shard.ask(claim("key-0", "repeat")) shouldBe null
+            val write = shard.nextCall(NOW) as ClaimCall.Write
+            write.claims.claims.map { it.request.text } shouldBe listOf("request-0", "request-1", "request-2")
+            shard.nextCall(NOW) shouldBe null
+            shard.wasWritten(ObjectVersion(1)).map { it.decision } shouldBe
+                List(3) { ClaimDecision.Granted } + ClaimDecision.Joined(RequestId("request-0"))
+            shard.ask(claim("key-0", "later")) shouldBe ClaimDecision.Joined(RequestId("request-0"))
+            shard.ask(claim("key-0", "other", content = "[]")) shouldBe CONFLICT
+        }
+
+        test("a request is not run while the object API is down") {
+            val shard = loadedShard()
+            shard.ask(claim("key", "request"))
+            shard.nextCall(NOW)
+            shard.failed(StoreFailure.Unavailable("down")) shouldBe
+                listOf(DecidedClaim(RequestId("request"), STORE_UNAVAILABLE))
+        }
+
+        test("a lost answer is settled by reading back") {
+            val shard = loadedShard()
+            shard.ask(claim("key", "request"))
+            val write = shard.nextCall(NOW) as ClaimCall.Write
+            shard.failed(StoreFailure.OutcomeUnknown("lost")) shouldBe emptyList()
+            shard.nextCall(NOW) shouldBe ClaimCall.Read
+            shard.wasRead(write.claims, ObjectVersion(1)) shouldBe
+                listOf(DecidedClaim(RequestId("request"), ClaimDecision.Granted))
+        }
+
+        test("what became of a claim of a lost home is unknown, unless its answer was kept") {
+            val answer = StoredAnswer(200, emptyList(), Payload.of("done"))
+            val shard = ClaimShard(HOME, Incarnation(2))
+            shard.ask(claim("lost", "first", incarnation = 2))
+            shard.ask(claim("kept", "second", incarnation = 2))
+            shard.nextCall(NOW) shouldBe ClaimCall.Read
+            val stored = ClaimSet(listOf(claim("lost", "old"), claim("kept", "older").copy(answer = answer)))
+            shard.wasRead(stored, ObjectVersion(7)).map { it.decision } shouldBe
+                listOf(
+                    ClaimDecision.Refused(RunState.UNKNOWN, RefusalReason.OUTCOME_UNKNOWN),
+                    ClaimDecision.Answered(answer),
+                )
+        }
+
+        test("claims are dropped after their retention") {
+            val shard = loadedShard()
+            shard.ask(claim("key", "request"))
+            shard.nextCall(NOW)
+            shard.wasWritten(ObjectVersion(1))
+            shard.ask(claim("other", "other"))
+            val write = shard.nextCall(NOW + 25.hours) as ClaimCall.Write
+            write.claims.claims.map { it.request.text } shouldBe listOf("other")
+        }
+
+        test("no key is granted twice and nothing runs that was said not to, whatever becomes of homes and calls") {
+            val broken = (1..RANDOM_RUNS).flatMap { seed -> ClaimScenario(Random(seed)).run().map { seed to it } }
+            broken shouldBe emptyList()
+        }
+    })
+
+private const val RANDOM_RUNS = 3000
+private val NOW = Instant.fromEpochSeconds(1_000_000)
+private val HOME = TargetName("home-0")
+private val CONFLICT = ClaimDecision.Refused(RunState.NOT_RUN, RefusalReason.CONFLICT)
+private val STORE_UNAVAILABLE = ClaimDecision.Refused(RunState.NOT_RUN, RefusalReason.STORE_UNAVAILABLE)
+
+private fun loadedShard() =
+    ClaimShard(HOME, Incarnation(1)).apply {
+        ask(claim("first", "first"))
+        nextCall(NOW)
+        wasRead(ClaimSet(emptyList()), null)
+        giveUp(RequestId("first"))
+    }
+
+private fun claim(
+    key: String,
+    request: String,
+    content: String = "{}",
+    owner: TargetName = HOME,
+    incarnation: Long = 1,
+) = Claim(
+    key = ClaimKey(WorkspaceName("press"), IdempotencyKey(key)),
+    request = RequestId(request),
+    digest = Payload.of(content),
+    owner = owner,
+    incarnation = Incarnation(incarnation),
+    claimedAt = NOW.epochSeconds,
+)
+
+/** Two homes that both believe to be the home of a few keys, before one object whose writes may be late or unheard. */
+private class ClaimScenario(
+    private val random: Random,
+) {
+    private val homes = MutableList(2) { Home(TargetName("home-$it"), incarnation = 1) }
+    private val grants = ArrayList<Pair<ClaimKey, RequestId>>()
+    private val notRun = HashSet<RequestId>()
+    private val lateWrites = ArrayList<ClaimCall.Write>()
+    private var stored = ClaimSet(emptyList())
+    private var version: ObjectVersion? = null
+    private var requests = 0
+
+    fun run(): List<String> {
+        repeat(60) { step() }
+        val twice = grants.groupBy { it.first }.filter { it.value.size > 1 }
+        val untrue = grants.filter { it.second in notRun }
+        return twice.map { "granted twice: $it" } + untrue.map { "granted though refused: $it" }
+    }
+
+    private fun step() {
+        val index = random.nextInt(homes.size)
+        val home = homes[index]
+        when (random.nextInt(8)) {
+            0, 1, 2 -> ask(home)
+            3, 4, 5 -> call(home)
+            6 -> lateWrites.removeFirstOrNull()?.let(::write)
+            else -> if (random.nextInt(4) == 0) homes[index] = Home(home.name, home.incarnation + 1)
+        }
+    }
+
+    private fun ask(home: Home) {
+        val claim = claim("key-${random.nextInt(3)}", "request-${requests++}", "{}", home.name, home.incarnation)
+        home.asked[claim.request] = claim.key
+        home.shard.ask(claim)?.let { decided(home, DecidedClaim(claim.request, it)) }
+    }
+
+    private fun call(home: Home) {
+        val call = home.shard.nextCall(NOW) ?: return
+        val results =
+            when (random.nextInt(6)) {
+                0 -> home.shard.failed(StoreFailure.Unavailable("down"))
+                1 -> unheard(home, call)
+                else -> answered(home, call)
+            }
+        results.forEach { decided(home, it) }
+    }
+
+    private fun unheard(
+        home: Home,
+        call: ClaimCall,
+    ): List<DecidedClaim> {
+        if (call !is ClaimCall.Write) {
+            return home.shard.failed(StoreFailure.Unavailable("down"))
+        }
+        if (random.nextBoolean()) write(call) else lateWrites += call
+        return home.shard.failed(StoreFailure.OutcomeUnknown("lost"))
+    }
+
+    private fun answered(
+        home: Home,
+        call: ClaimCall,
+    ): List<DecidedClaim> =
+        when {
+            call !is ClaimCall.Write -> home.shard.wasRead(stored, version)
+            write(call) -> home.shard.wasWritten(checkNotNull(version))
+            else -> home.shard.failed(StoreFailure.Conflict(ClaimShards.objectOf(claim("k", "r").key), version))
+        }
+
+    private fun write(call: ClaimCall.Write): Boolean {
+        val holds = call.expected == version
+        if (holds) {
+            stored = call.claims
+            version = ObjectVersion((version?.number ?: 0) + 1)
+        }
+        return holds
+    }
+
+    private fun decided(
+        home: Home,
+        result: DecidedClaim,
+    ) {
+        val decision = result.decision
+        if (decision is ClaimDecision.Granted) grants += home.asked.getValue(result.request) to result.request
+        if (decision is ClaimDecision.Refused && decision.runState == RunState.NOT_RUN) notRun += result.request
+    }
+
+    private class Home(
+        val name: TargetName,
+        val incarnation: Long,
+    ) {
+        val shard = ClaimShard(name, Incarnation(incarnation))
+        val asked = HashMap<RequestId, ClaimKey>()
+    }
+}
