--- /dev/null
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/EntryDaemon.kt
@@ -0,0 +1,234 @@
+package tanagerlane.entry
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.map
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import io.vertx.core.Vertx
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.slf4j.LoggerFactory
+import tanagerlane.attempts.AttemptPolicy
+import tanagerlane.inventory.Configuration
+import tanagerlane.jobs.JobStore
+import tanagerlane.limits.FleetLimiter
+import tanagerlane.limits.LimiterSettings
+import tanagerlane.limits.Outgoing
+import tanagerlane.limits.SlotLeases
+import tanagerlane.limits.SlotSettings
+import tanagerlane.membership.Member
+import tanagerlane.message.Hello
+import tanagerlane.message.HostRole
+import tanagerlane.message.WireMessage
+import tanagerlane.model.HostName
+import tanagerlane.model.Incarnation
+import tanagerlane.platform.HopTracer
+import tanagerlane.platform.MemberRegistration
+import tanagerlane.platform.MonotonicClock
+import tanagerlane.platform.OperatorServer
+import tanagerlane.platform.PrefixWatcher
+import tanagerlane.platform.StoredDocuments
+import tanagerlane.platform.openTelemetryOf
+import tanagerlane.settings.EntrySettings
+import tanagerlane.store.ObjectStore
+import tanagerlane.store.StoredObject
+import tanagerlane.wire.PeerConnections
+import tanagerlane.wire.WireAddress
+import tanagerlane.wire.WireEndpoint
+import tanagerlane.wire.WireFault
+import java.util.UUID
+import kotlin.time.Clock
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** The process that callers reach. */
+public class EntryDaemon(
+    private val settings: EntrySettings,
+    private val store: ObjectStore,
+    vertx: Vertx,
+    private val clock: MonotonicClock = MonotonicClock(),
+) {
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val incarnation = Incarnation(clock.now().toEpochMilliseconds())
+    private val registration = MemberRegistration(store)
+    private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    private val tracer = HopTracer(openTelemetryOf(settings.host, "tanagerlane-entry"))
+    private val endpoint = WireEndpoint(hello(), scope, now = clock::now)
+    private val active = ActiveRequests()
+    private val directory = EntryDirectory(settings.host.name)
+    private val peers = PeerConnections(endpoint, scope, directory::addressOf, ::receive)
+    private val picker = TargetPicker(settings.host.failureDomain, clock::now)
+    private val links = SidecarLinks(endpoint, scope, active, picker, clock::now)
+    private val limiter = FleetLimiter(LimiterSettings(settings.host.name, incarnation, settings.slots))
+    private val rates = RateControl(limiter, ::send, clock::now)
+    private val charging = Charging(rates, links::nonces)
+    private val runner = RequestRunner(links, active, picker, charging, AttemptPolicy(), clock::now)
+    private val gate = Gate({ state }, { draining })
+    private val online = OnlineRoutes(gate, charging, runner, tracer, clock::now)
+    private val jobs = JobRoutes(gate, JobStore(store, newUpload = { UUID.randomUUID().toString() }), Clock.System::now)
+    private val callers = CallerServer(vertx, online, jobs) { _, _ -> }
+    private val operators = OperatorServer(vertx, registry, ready = { !draining }, status = ::status)
+
+    @Volatile
+    private var slots: SlotKeeper? = null
+
+    @Volatile
+    private var state: EntryState? = null
+
+    @Volatile
+    private var draining = false
+
+    @Volatile
+    private var member: Member? = null
+
+    @Volatile
+    private var knownMembers: List<Member> = emptyList()
+
+    /** Port for callers, once started. */
+    @Volatile
+    public var callerPort: Int = 0
+        private set
+
+    /** Whether a configuration is in force and some entry holds slots. */
+    public val isReady: Boolean get() = state != null && slots?.isSettled == true
+
+    /** Number of targets whose sidecars are connected. */
+    public val connectedTargets: Int get() = links.connected().size
+
+    /** Starts to listen; returns the address for other processes. */
+    public suspend fun start(): Result<WireAddress, WireFault> {
+        val address = WireAddress(settings.host.address, settings.host.wirePort)
+        return endpoint.listen(address, peers::serve).map { bound ->
+            startRates(bound)
+            register(bound)
+            scope.launch { PrefixWatcher(store, CONFIGURATION_PREFIX).follow { takeConfiguration(it.values) } }
+            scope.launch { PrefixWatcher(store, MemberRegistration.PREFIX).follow { takeMembers(it.values) } }
+            operators.start(settings.host.address, settings.host.operatorPort)
+            callerPort = callers.start(settings.host.address, settings.callerPort)
+            logger.info("entry listens for callers on port {}", callerPort)
+            bound
+        }
+    }
+
+    /** Refuses new requests, answers those that are open, then stops. */
+    public suspend fun drainAndStop() {
+        draining = true
+        member?.let { registration.remove(it) }
+        withTimeoutOrNull(RELEASE_BOUND) { slots?.release() }
+        while (callers.openRequests > 0) {
+            delay(DRAIN_INTERVAL)
+        }
+        stop()
+    }
+
+    /** Stops at once. */
+    public suspend fun stop() {
+        callers.stop()
+        links.stop()
+        endpoint.close()
+        scope.cancel()
+        operators.stop()
+    }
+
+    private fun startRates(bound: WireAddress) {
+        val slotSettings =
+            SlotSettings(
+                host = settings.host.name,
+                incarnation = incarnation,
+                address = bound.host,
+                wirePort = bound.port,
+                slotCount = settings.slots,
+            )
+        val leases = SlotLeases(slotSettings, settings.host.failureDomain)
+        val keeper =
+            SlotKeeper(
+                settings.host.name,
+                settings.slots,
+                leases,
+                limiter,
+                store,
+                directory::peers,
+                ::send,
+                clock::now,
+            )
+        slots = keeper
+        keeper.start(scope)
+        scope.launch { rates.tickLoop() }
+    }
+
+    private fun register(bound: WireAddress) {
+        val registered =
+            Member(
+                host = settings.host.name,
+                role = HostRole.ENTRY,
+                incarnation = incarnation,
+                failureDomain = settings.host.failureDomain,
+                address = bound.toString(),
+            )
+        member = registered
+        scope.launch { registration.register(registered) }
+    }
+
+    private fun send(outgoing: Outgoing) {
+        peers.send(outgoing.to, outgoing.message)
+    }
+
+    private suspend fun receive(
+        from: HostName,
+        message: WireMessage,
+    ) {
+        rates.receive(from, message)
+        slots?.receive(from, message)
+    }
+
+    private fun takeConfiguration(objects: Collection<StoredObject>) {
+        val newest =
+            objects
+                .mapNotNull { StoredDocuments.decode(Configuration.serializer(), it.value).get() }
+                .maxByOrNull { it.revision.number } ?: return
+        if (newest.revision.number > (state?.configuration?.revision?.number ?: 0)) {
+            rates.configure(newest.inventory)
+            picker.configure(newest.inventory)
+            state = EntryState(newest)
+            updateLinks()
+            logger.info("configuration {} in force", newest.revision)
+        }
+    }
+
+    private fun takeMembers(objects: Collection<StoredObject>) {
+        val members = objects.mapNotNull { StoredDocuments.decode(Member.serializer(), it.value).get() }
+        directory.update(members)
+        knownMembers = members
+        updateLinks()
+    }
+
+    private fun updateLinks() {
+        val used = state?.sidecarsUsedBy(settings.host.name) ?: return
+        links.update(knownMembers.filter { it.target in used })
+    }
+
+    private fun hello(): Hello =
+        Hello(
+            protocolVersion = WireEndpoint.PROTOCOL_VERSION,
+            host = settings.host.name,
+            role = HostRole.ENTRY,
+            incarnation = incarnation,
+            failureDomain = settings.host.failureDomain,
+        )
+
+    private fun status(): String =
+        """{"role":"entry","host":"${settings.host.name}","revision":${state?.configuration?.revision ?: 0}}"""
+
+    private companion object {
+        const val CONFIGURATION_PREFIX = "configuration/"
+        val DRAIN_INTERVAL = 50.milliseconds
+        val RELEASE_BOUND = 15.seconds
+        val logger = LoggerFactory.getLogger(EntryDaemon::class.java)
+    }
+}
--- /dev/null
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/EntryState.kt
@@ -0,0 +1,35 @@
+package tanagerlane.entry
+
+import tanagerlane.inventory.Configuration
+import tanagerlane.inventory.Rules
+import tanagerlane.inventory.Service
+import tanagerlane.model.HostName
+import tanagerlane.model.ServiceName
+import tanagerlane.model.TargetName
+import tanagerlane.routing.SidecarSubset
+
+/** One configuration, indexed for serving callers. */
+internal class EntryState(
+    val configuration: Configuration,
+) {
+    val keys: KeyLookup = KeyLookup(configuration.keys)
+    val chatParser: ChatRequestParser = ChatRequestParser(configuration.inventory.models)
+    val rules: Rules = configuration.inventory.rules
+
+    private val services = configuration.inventory.services.associateBy { it.name }
+
+    /** The service called [name], or null. */
+    fun service(name: ServiceName): Service? = services[name]
+
+    /** Targets to whose sidecars the entry [host] keeps connections: a bounded number for each model and service. */
+    fun sidecarsUsedBy(host: HostName): Set<TargetName> {
+        val inventory = configuration.inventory
+        val forModels = inventory.models.map { model -> inventory.targets.filter { model.name in it.models } }
+        val forServices = inventory.services.map { service -> inventory.targets.filter { service.name in it.services } }
+        return (forModels + forServices).flatMapTo(HashSet()) { SidecarSubset.of(host, it, SIDECARS_PER_SERVICE) }
+    }
+
+    private companion object {
+        const val SIDECARS_PER_SERVICE = 24
+    }
+}
