--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/CallerExchange.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/CallerExchange.kt
@@ -22,7 +22,7 @@
  */
 internal class CallerExchange(
     private val context: RoutingContext,
-    private val record: suspend (WorkspaceName?, Refusal) -> Unit,
+    private val record: suspend (WorkspaceName?, CallerRefusal) -> Unit,
 ) {
     /** Workspace of the caller's key, once it is known. */
     var workspace: WorkspaceName? = null
@@ -55,7 +55,7 @@
         context.response().closeHandler { action() }
     }
 
-    suspend fun refuse(refusal: Refusal) {
+    suspend fun refuse(refusal: CallerRefusal) {
         record(workspace, refusal)
         val detail = ErrorDetail(type = refusal.reason, run = refusal.runState, message = refusal.explanation)
         refusal.retryAfter?.let { context.response().putHeader("retry-after", secondsRoundedUp(it)) }
@@ -117,7 +117,7 @@
 
     /** Tells the caller of a stream by an error event; any other answer is cut, so that it can't be taken for whole. */
     private suspend fun abort(reason: RefusalReason) {
-        val refusal = Refusal(reason, RunState.UNKNOWN, reason.explanation)
+        val refusal = CallerRefusal(reason, RunState.UNKNOWN, reason.explanation)
         record(workspace, refusal)
         val detail = ErrorDetail(type = reason, run = RunState.UNKNOWN, message = refusal.explanation)
         if (context
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/Refusal.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/CallerRefusal.kt
@@ -10,7 +10,7 @@
  * @property explanation sentence for the caller
  * @property retryAfter time after which a repeat may succeed, or null where it won't
  */
-internal data class Refusal(
+internal data class CallerRefusal(
     val reason: RefusalReason,
     val runState: RunState,
     val explanation: String,
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/CallerServer.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/CallerServer.kt
@@ -29,7 +29,7 @@
     private val vertx: Vertx,
     private val online: OnlineRoutes,
     private val jobs: JobRoutes,
-    private val record: suspend (WorkspaceName?, Refusal) -> Unit,
+    private val record: suspend (WorkspaceName?, CallerRefusal) -> Unit,
 ) {
     private val scope = CoroutineScope(SupervisorJob())
     private val open = AtomicInteger()
@@ -109,7 +109,7 @@
     private fun reasonOf(context: RoutingContext): RefusalReason =
         if (context.statusCode() == TOO_LARGE) RefusalReason.TOO_LARGE else RefusalReason.MALFORMED
 
-    private fun refusal(reason: RefusalReason) = Refusal(reason, RunState.NOT_RUN, reason.explanation)
+    private fun refusal(reason: RefusalReason) = CallerRefusal(reason, RunState.NOT_RUN, reason.explanation)
 
     private companion object {
         const val MAXIMUM_BODY_BYTES = 1L shl 20
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/CallerSink.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/CallerSink.kt
@@ -13,6 +13,6 @@
     val head: suspend (status: Int, headers: List<Header>) -> Unit,
     val bytes: suspend (Payload) -> Unit,
     val complete: suspend () -> Unit,
-    val refuse: suspend (Refusal) -> Unit,
+    val refuse: suspend (CallerRefusal) -> Unit,
     val abort: suspend (RefusalReason) -> Unit,
 )
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/Charging.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/Charging.kt
@@ -16,7 +16,7 @@
     private val nonces: () -> Map<TargetName, Nonce>,
 ) {
     /** Charges one request to [key]. */
-    suspend fun charge(key: LimitKey): Result<Charge, Refusal> {
+    suspend fun charge(key: LimitKey): Result<Charge, CallerRefusal> {
         val known = nonces()
         return rates.admit(key).map { permit -> Charge(key, permit, known) }
     }
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/ChatRequestParser.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/ChatRequestParser.kt
@@ -25,7 +25,7 @@
     private val models = models.associateBy { it.name }
 
     /** Reads [body]; the refusal names the field that is missing or wrong. */
-    fun parse(body: Payload): Result<ChatWork, Refusal> {
+    fun parse(body: Payload): Result<ChatWork, CallerRefusal> {
         val document = objectOrNull(body) ?: return malformed("The body is not a JSON object.")
         val name = text(document, "model") ?: return malformed("The field model is missing or not text.")
         val messages = document["messages"] as? JsonArray
@@ -67,9 +67,9 @@
         field: String,
     ): Int? = (document[field] as? JsonPrimitive)?.intOrNull
 
-    private fun malformed(explanation: String): Result<ChatWork, Refusal> =
-        Err(Refusal(RefusalReason.MALFORMED, RunState.NOT_RUN, explanation))
+    private fun malformed(explanation: String): Result<ChatWork, CallerRefusal> =
+        Err(CallerRefusal(RefusalReason.MALFORMED, RunState.NOT_RUN, explanation))
 
-    private fun notFound(name: String): Refusal =
-        Refusal(RefusalReason.NOT_FOUND, RunState.NOT_RUN, "There is no model $name.")
+    private fun notFound(name: String): CallerRefusal =
+        CallerRefusal(RefusalReason.NOT_FOUND, RunState.NOT_RUN, "There is no model $name.")
 }
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/EntryDaemon.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/EntryDaemon.kt
@@ -38,6 +38,8 @@
 import tanagerlane.platform.StoredDocuments
 import tanagerlane.platform.configuration.ConfigurationFollower
 import tanagerlane.platform.openTelemetryOf
+import tanagerlane.refusals.RefusalLedger
+import tanagerlane.refusals.RefusalPeer
 import tanagerlane.settings.EntrySettings
 import tanagerlane.store.ObjectStore
 import tanagerlane.store.StoredObject
@@ -85,7 +87,18 @@
     private val gate = Gate({ state?.takeIf { follower.serves } }, { draining })
     private val online = OnlineRoutes(gate, charging, runner, tracer, clock::now)
     private val jobs = JobRoutes(gate, JobStore(store, newUpload = { UUID.randomUUID().toString() }), Clock.System::now)
-    private val callers = CallerServer(vertx, online, jobs) { _, _ -> }
+    private val refusals =
+        RefusalRecorder(
+            host = settings.host.name,
+            failureDomain = settings.host.failureDomain,
+            ledger = RefusalLedger(settings.host.name, incarnation),
+            store = store,
+            registry = registry,
+            peers = { directory.otherEntries.map { RefusalPeer(it.host, it.failureDomain) } },
+            send = peers::send,
+            now = clock::now,
+        )
+    private val callers = CallerServer(vertx, online, jobs, refusals::record)
     private val operators = OperatorServer(vertx, registry, ready = { !draining }, status = ::status)
 
     @Volatile
@@ -118,6 +131,7 @@
             startRates(bound)
             register(bound)
             scope.launch { follower.run() }
+            scope.launch { refusals.storeLoop() }
             scope.launch { PrefixWatcher(store, MemberRegistration.PREFIX).follow { takeMembers(it.values) } }
             operators.start(settings.host.address, settings.host.operatorPort)
             callerPort = callers.start(settings.host.address, settings.callerPort)
@@ -134,6 +148,7 @@
         while (callers.openRequests > 0) {
             delay(DRAIN_INTERVAL)
         }
+        withTimeoutOrNull(RELEASE_BOUND) { refusals.finish() }
         stop()
     }
 
@@ -194,6 +209,7 @@
         message: WireMessage,
     ) {
         rates.receive(from, message)
+        refusals.receive(from, message)
         follower.receive(from, message)
         slots?.receive(from, message)
     }
@@ -208,6 +224,7 @@
     private fun takeMembers(objects: Collection<StoredObject>) {
         val members = objects.mapNotNull { StoredDocuments.decode(Member.serializer(), it.value).get() }
         directory.update(members)
+        refusals.entriesChanged(directory.otherEntries.mapTo(HashSet()) { it.host })
         follower.replaceMembers(members.mapTo(HashSet()) { RelayMember(it.host, it.failureDomain) })
         updateLinks()
     }
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/Gate.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/Gate.kt
@@ -18,7 +18,7 @@
     private val draining: () -> Boolean,
 ) {
     /** Lets a caller pass on a route that is open to all. */
-    fun passOpen(): Result<EntryState, Refusal> {
+    fun passOpen(): Result<EntryState, CallerRefusal> {
         if (draining()) {
             return refused(RefusalReason.SHUTTING_DOWN)
         }
@@ -30,11 +30,11 @@
     fun workspaceOf(
         current: EntryState,
         exchange: CallerExchange,
-    ): Result<WorkspaceName, Refusal> {
+    ): Result<WorkspaceName, CallerRefusal> {
         val workspace = current.workspaceOf(exchange.header("authorization"))
         exchange.workspace = workspace
         return if (workspace == null) refused(RefusalReason.NO_KEY) else Ok(workspace)
     }
 
-    private fun refused(reason: RefusalReason) = Err(Refusal(reason, RunState.NOT_RUN, reason.explanation))
+    private fun refused(reason: RefusalReason) = Err(CallerRefusal(reason, RunState.NOT_RUN, reason.explanation))
 }
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/JobRefusal.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/JobRefusal.kt
@@ -5,7 +5,7 @@
 import tanagerlane.model.RunState
 
 /** The refusal by which a caller hears of [error]. */
-internal fun jobRefusalOf(error: JobError): Refusal =
+internal fun jobRefusalOf(error: JobError): CallerRefusal =
     when (error) {
         is JobError.NotFound -> {
             refusal(RefusalReason.NOT_FOUND, "There is no job ${error.job}.")
@@ -52,7 +52,7 @@
         }
 
         is JobError.Unsettled -> {
-            Refusal(
+            CallerRefusal(
                 RefusalReason.STORE_UNAVAILABLE,
                 RunState.UNKNOWN,
                 "The call may have taken effect; sending it again settles it.",
@@ -67,4 +67,4 @@
 private fun refusal(
     reason: RefusalReason,
     explanation: String,
-): Refusal = Refusal(reason, RunState.NOT_RUN, explanation)
+): CallerRefusal = CallerRefusal(reason, RunState.NOT_RUN, explanation)
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/JobRoutes.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/JobRoutes.kt
@@ -88,15 +88,15 @@
             .onErr { exchange.refuse(it) }
     }
 
-    private fun workspaceOf(exchange: CallerExchange): Result<WorkspaceName, Refusal> =
+    private fun workspaceOf(exchange: CallerExchange): Result<WorkspaceName, CallerRefusal> =
         gate.passOpen().flatMap { gate.workspaceOf(it, exchange) }
 
-    private fun dueOf(exchange: CallerExchange): Result<Instant, Refusal> {
+    private fun dueOf(exchange: CallerExchange): Result<Instant, CallerRefusal> {
         val text = exchange.parameter("due") ?: return Ok(wallClock() + DEFAULT_DUE)
         return Instant.parseOrNull(text)?.let { Ok(it) } ?: malformed("The due time is not an ISO 8601 instant: $text")
     }
 
-    private fun cursorOf(exchange: CallerExchange): Result<ResultCursor, Refusal> {
+    private fun cursorOf(exchange: CallerExchange): Result<ResultCursor, CallerRefusal> {
         val text = exchange.parameter("cursor") ?: return Ok(ResultCursor.START)
         val numbers = text.split('-').mapNotNull { it.toIntOrNull() }
         return if (numbers.size == 2) Ok(ResultCursor(numbers[0], numbers[1])) else malformed("Invalid cursor: $text")
@@ -117,7 +117,8 @@
         )
     }
 
-    private fun malformed(explanation: String) = Err(Refusal(RefusalReason.MALFORMED, RunState.NOT_RUN, explanation))
+    private fun malformed(explanation: String) =
+        Err(CallerRefusal(RefusalReason.MALFORMED, RunState.NOT_RUN, explanation))
 
     private companion object {
         const val OK = 200
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/OnlineRoutes.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/OnlineRoutes.kt
@@ -96,7 +96,7 @@
         route: ServiceRoute?,
         state: EntryState,
         exchange: CallerExchange,
-    ): Result<WorkspaceName?, Refusal> = if (route?.open == true) Ok(null) else gate.workspaceOf(state, exchange)
+    ): Result<WorkspaceName?, CallerRefusal> = if (route?.open == true) Ok(null) else gate.workspaceOf(state, exchange)
 
     private fun workOf(
         exchange: CallerExchange,
@@ -131,7 +131,7 @@
     private fun allowedTime(
         exchange: CallerExchange,
         state: EntryState,
-    ): Result<Duration, Refusal> {
+    ): Result<Duration, CallerRefusal> {
         val asked = exchange.header(TIMEOUT_HEADER) ?: return Ok(state.rules.onlineDeadline)
         val milliseconds = asked.toLongOrNull()
         return when {
@@ -142,7 +142,7 @@
     }
 
     private fun malformedTimeout(text: String) =
-        Refusal(RefusalReason.MALFORMED, RunState.NOT_RUN, "The header $TIMEOUT_HEADER is not a number: $text")
+        CallerRefusal(RefusalReason.MALFORMED, RunState.NOT_RUN, "The header $TIMEOUT_HEADER is not a number: $text")
 
     private suspend fun run(
         exchange: CallerExchange,
@@ -160,7 +160,7 @@
         }
     }
 
-    private fun refusal(reason: RefusalReason) = Refusal(reason, RunState.NOT_RUN, reason.explanation)
+    private fun refusal(reason: RefusalReason) = CallerRefusal(reason, RunState.NOT_RUN, reason.explanation)
 
     private companion object {
         const val OK = 200
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/RateControl.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/RateControl.kt
@@ -41,7 +41,7 @@
     private val questions = ConcurrentHashMap<Long, CompletableDeferred<Admission>>()
 
     /** Charges one request to [key]; the refusal says when to try again. */
-    suspend fun admit(key: LimitKey): Result<Permit, Refusal> =
+    suspend fun admit(key: LimitKey): Result<Permit, CallerRefusal> =
         when (val admission = limiter.admit(key, now())) {
             is Admission.AskPool -> conclude(askPool(admission))
             else -> conclude(admission)
@@ -97,7 +97,7 @@
         reaction.decisions.forEach { questions.remove(it.number)?.complete(it.admission) }
     }
 
-    private fun conclude(admission: Admission): Result<Permit, Refusal> =
+    private fun conclude(admission: Admission): Result<Permit, CallerRefusal> =
         when (admission) {
             is Admission.Admitted -> Ok(admission.permit)
             is Admission.Refused -> Err(refusal(admission.retryAfter))
@@ -105,7 +105,7 @@
         }
 
     private fun refusal(retryAfter: Duration) =
-        Refusal(RefusalReason.RATE_LIMITED, RunState.NOT_RUN, RefusalReason.RATE_LIMITED.explanation, retryAfter)
+        CallerRefusal(RefusalReason.RATE_LIMITED, RunState.NOT_RUN, RefusalReason.RATE_LIMITED.explanation, retryAfter)
 
     companion object {
         /** Time for which a permit is valid; entries and sidecars must agree on it. */
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/RequestRunner.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/RequestRunner.kt
@@ -148,7 +148,7 @@
                 admission = request.charge.nonces[action.target],
             )
 
-        private fun refusalOf(action: AttemptAction.Refuse): Refusal =
-            Refusal(action.reason, action.runState, explanation = action.reason.explanation)
+        private fun refusalOf(action: AttemptAction.Refuse): CallerRefusal =
+            CallerRefusal(action.reason, action.runState, explanation = action.reason.explanation)
     }
 }
