--- a/tanagerlane-batch/src/main/kotlin/tanagerlane/jobs/BatchWorker.kt
+++ b/tanagerlane-batch/src/main/kotlin/tanagerlane/jobs/BatchWorker.kt
@@ -96,6 +96,7 @@
         keeperScope.launch {
             holder.keep()
             held.remove(holder)
+            claimer.claimEnded(claim.job)
             claimWanted.trySend(Unit)
             dispatcher.wake()
         }
--- a/tanagerlane-batch/src/main/kotlin/tanagerlane/jobs/ChunkClaimer.kt
+++ b/tanagerlane-batch/src/main/kotlin/tanagerlane/jobs/ChunkClaimer.kt
@@ -25,9 +25,10 @@
 import tanagerlane.store.Listing
 import tanagerlane.store.ObjectKey
 import tanagerlane.store.ObjectStore
+import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Instant
 
-/** Chooses and claims chunks; used by one coroutine at a time. */
+/** Chooses and claims chunks; used by one coroutine at a time but for [claimEnded]. */
 internal class ChunkClaimer(
     private val store: ObjectStore,
     private val claimant: Claimant,
@@ -37,6 +38,7 @@
     private val now: () -> Instant,
 ) {
     private val views = HashMap<ObjectKey, JobView>()
+    private val endedIn: MutableSet<ObjectKey> = ConcurrentHashMap.newKeySet()
     private var observations = LeaseObservations(longestGap = rules.leaseTerm / OBSERVATION_PARTS)
     private var shares = WorkspaceShares()
 
@@ -58,12 +60,22 @@
                 list(job) ?: return null
             }
             claimFrom(job, models)?.let { return it }
+            if (endedIn.remove(job.keys.headerKey)) {
+                list(job) ?: return null
+                claimFrom(job, models)?.let { return it }
+            }
         }
         return null
     }
 
+    /** Notes that a claim of this process on a chunk of [job] ended; may be called from any thread. */
+    fun claimEnded(job: OpenJob) {
+        endedIn += job.keys.headerKey
+    }
+
     private fun forgetAllBut(open: Collection<OpenJob>) {
         val keys = open.map { it.keys.headerKey }.toSet()
+        endedIn.retainAll(keys)
         for (key in views.keys - keys) {
             val prefix = views.remove(key)?.statePrefix ?: continue
             observations = observations.without(prefix)
--- a/tanagerlane-batch/src/test/kotlin/tanagerlane/jobs/JobStoreTest.kt
+++ b/tanagerlane-batch/src/test/kotlin/tanagerlane/jobs/JobStoreTest.kt
@@ -14,6 +14,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.asFlow
 import kotlinx.coroutines.test.runTest
+import kotlinx.coroutines.withTimeoutOrNull
 import tanagerlane.batch.ItemFault
 import tanagerlane.batch.JobKeys
 import tanagerlane.batch.MAXIMUM_ITEM_BYTES
@@ -71,6 +72,22 @@
             }
         }
 
+        test("a job is whole after a resend, wherever the host that took it in was lost") {
+            for (lostAt in 0..45) {
+                runTest {
+                    val bench = JobBench(this)
+                    bench.store.faults = StoreFaults(delay = 5.milliseconds)
+                    bench.startHost("a")
+                    val items = List(30) { "item-$it" }
+                    withTimeoutOrNull(lostAt.milliseconds) { bench.submit(items) }
+                    bench.submit(items)
+                    bench.awaitEnd()
+                    bench.outcomes() shouldBe items.associateWith { "ANSWERED" }
+                    bench.runs shouldBe items.associateWith { 1 }
+                }
+            }
+        }
+
         test("a submission to a store that is down is refused as not accepted") {
             runTest {
                 val bench = JobBench(this)
