--- a/tanagerlane-platform/src/main/kotlin/tanagerlane/platform/configuration/ConfigurationFailure.kt
+++ b/tanagerlane-platform/src/main/kotlin/tanagerlane/platform/configuration/ConfigurationFailure.kt
@@ -39,6 +39,11 @@
         val fault: ConfigurationFault,
     ) : ConfigurationFailure
 
+    /** The store failed while it was read. */
+    public data class NotRead(
+        val failure: StoreFailure,
+    ) : ConfigurationFailure
+
     /** The store failed; the change was certainly not made. */
     public data class NotMade(
         val failure: StoreFailure,
--- a/tanagerlane-platform/src/main/kotlin/tanagerlane/platform/configuration/ConfigurationStore.kt
+++ b/tanagerlane-platform/src/main/kotlin/tanagerlane/platform/configuration/ConfigurationStore.kt
@@ -15,11 +15,13 @@
 import tanagerlane.inventory.CallerKey
 import tanagerlane.inventory.Configuration
 import tanagerlane.inventory.Inventory
+import tanagerlane.model.FailureDomain
 import tanagerlane.model.Revision
 import tanagerlane.model.WorkspaceName
 import tanagerlane.store.ObjectStore
 import tanagerlane.store.ObjectVersion
 import tanagerlane.store.StoreFailure
+import tanagerlane.store.StoredObject
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -49,7 +51,7 @@
         if (failure is StoreFailure.NotFound) {
             ConfigurationFailure.NoConfiguration
         } else {
-            ConfigurationFailure.NotMade(
+            ConfigurationFailure.NotRead(
                 failure,
             )
         }
@@ -130,8 +132,8 @@
                 .flatMap { it.failureDomains }
         var waited = Duration.ZERO
         while (true) {
-            val confirmed = confirmedRevisions()
-            val silent = domains.filter { (confirmed[it.text] ?: 0) < revision.number }
+            val holding = confirmations().getOrElse { emptyList() }.filter { it.revision.number >= revision.number }
+            val silent = domains - holding.map { it.domain }.toSet()
             if (silent.size * 2 < domains.size) return Ok(Unit)
             if (waited >= wait) return Err(ConfigurationFailure.NotConfirmed(revision, silent))
             delay(retryInterval)
@@ -139,12 +141,18 @@
         }
     }
 
-    private suspend fun confirmedRevisions(): Map<String, Long> {
-        val listing = store.list(ConfigurationObjects.CONFIRMATIONS).getOrElse { return emptyMap() }
-        return listing.objects.associate {
-            it.key.path.removePrefix(ConfigurationObjects.CONFIRMATIONS) to (it.value.toText().toLongOrNull() ?: 0)
-        }
-    }
+    /** Reads which revision each failure domain has confirmed. */
+    public suspend fun confirmations(): Result<List<Confirmation>, ConfigurationFailure> =
+        store
+            .list(ConfigurationObjects.CONFIRMATIONS)
+            .map { listing -> listing.objects.map(::confirmationOf) }
+            .mapError { ConfigurationFailure.NotRead(it) }
+
+    private fun confirmationOf(stored: StoredObject): Confirmation =
+        Confirmation(
+            domain = FailureDomain(stored.key.path.removePrefix(ConfigurationObjects.CONFIRMATIONS)),
+            revision = Revision(stored.value.toText().toLongOrNull() ?: 0),
+        )
 
     private suspend fun change(edit: ConfigurationEdit): Result<Revision, ConfigurationFailure> {
         val identity = newIdentity()
