--- a/tanagerlane-core/src/main/kotlin/tanagerlane/limits/SlotState.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/limits/SlotState.kt
@@ -7,6 +7,7 @@
 import tanagerlane.store.ObjectVersion
 import tanagerlane.store.StoreFailure
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
 /** What this entry knows of one slot. */
@@ -18,7 +19,9 @@
     private var version: ObjectVersion? = null
     private var writing: SlotWrite? = null
     private var unconfirmed = emptyList<SlotWrite>()
-    private var mustObserve = true
+    private var retryAt = Instant.DISTANT_PAST
+    private val promisesReceived = HashMap<HostName, Instant>()
+    private var promisedUntil = Instant.DISTANT_PAST
 
     var value: EntrySlot? = null
         private set
@@ -29,10 +32,6 @@
     var lease: SlotLease? = null
         private set
 
-    /** Whether a write may be decided on. */
-    val isReady: Boolean
-        get() = writing == null && !mustObserve
-
     /** Whether this entry's claim is under way, perhaps with an outcome that is not known yet. */
     val isClaiming: Boolean
         get() = lease == null && possibleWrites().any { it.value.holder == settings.host }
@@ -45,6 +44,9 @@
     val possibleSuccessors: Set<HostName>
         get() = (possibleWrites().map { it.value.successor } + lease?.successor).filterNotNull().toSet()
 
+    /** Whether a write may be decided on at [now]. */
+    fun isReady(now: Instant): Boolean = writing == null && unchangedSince != Instant.DISTANT_FUTURE && now >= retryAt
+
     fun observe(
         record: SlotRecord,
         now: Instant,
@@ -53,7 +55,7 @@
         if (known != null && (record.version == null || record.version < known)) {
             return
         }
-        mustObserve = false
+        retryAt = Instant.DISTANT_PAST
         if (unchangedSince == Instant.DISTANT_FUTURE || record.version != known) {
             change(record.value, record.version, now)
         }
@@ -78,7 +80,6 @@
     fun conclude(
         write: SlotWrite,
         result: Result<ObjectVersion, StoreFailure>,
-        promises: Map<HostName, Instant>,
         now: Instant,
     ) {
         result.fold(
@@ -88,36 +89,57 @@
                 }
             },
             failure = { failure ->
-                mustObserve = failure is StoreFailure.Conflict || failure is StoreFailure.OutcomeUnknown
+                retryAt = now + RETRY_PAUSE
                 if (failure is StoreFailure.OutcomeUnknown && write.expected == version) {
                     unconfirmed = unconfirmed + write
                 }
             },
         )
         writing = null
-        extend(promises, now)
+        extend(now)
+    }
+
+    /** Promises not to take the slot over from [holder] until [until], unless that may be under way or done. */
+    fun promise(
+        holder: HostName,
+        until: Instant,
+    ): Boolean {
+        val isKept = !isClaiming && (value == null || value?.holder == holder)
+        if (isKept) {
+            promisedUntil = maxOf(promisedUntil, until)
+        }
+        return isKept
     }
 
-    /** Extends a hold that has not lapsed as far as the successors' [promises] allow. */
-    fun extend(
-        promises: Map<HostName, Instant>,
+    /** Whether this entry, as the successor, may take the slot over. */
+    fun isLapsed(now: Instant): Boolean = now - unchangedSince >= times.takeoverTerm && now >= promisedUntil
+
+    /** Notes the promise of [successor]; it extends the hold only if that has not lapsed. */
+    fun acceptPromise(
+        successor: HostName,
+        until: Instant,
         now: Instant,
     ) {
+        promisesReceived.merge(successor, until) { old, new -> maxOf(old, new) }
+        extend(now)
+    }
+
+    /** Stops using the slot; its object is released once nothing that was counted before can still arrive. */
+    fun stopUsing(now: Instant) {
+        lease = lease?.let { if (it.releaseAt == null) it.copy(releaseAt = now + times.useTerm) else it }
+    }
+
+    private fun extend(now: Instant) {
         val current = lease ?: return
         if (now >= current.validUntil) {
             return
         }
-        val promisedUntil = possibleSuccessors.minOfOrNull { promises[it] ?: Instant.DISTANT_PAST }
+        val promised = possibleSuccessors.minOfOrNull { promisesReceived[it] ?: Instant.DISTANT_PAST }
         val longest = current.renewedAt + times.longestHold
-        val allowed = maxOf(promisedUntil ?: longest, current.renewedAt + times.holdTerm)
+        val allowed = maxOf(promised ?: longest, current.renewedAt + times.holdTerm)
         lease = current.copy(validUntil = maxOf(current.validUntil, minOf(allowed, longest)))
     }
 
-    /** Stops using the slot; its object is released once nothing that was counted before can still arrive. */
-    fun stopUsing(now: Instant) {
-        lease = lease?.let { if (it.releaseAt == null) it.copy(releaseAt = now + times.useTerm) else it }
-    }
-
     private fun change(
         newValue: EntrySlot?,
         newVersion: ObjectVersion?,
@@ -147,7 +169,7 @@
         val holdUntil = origin.startedAt + if (newValue.successor == null) times.longestHold else times.holdTerm
         val old = lease
         return SlotLease(
-            countedFrom = old?.countedFrom ?: (now + origin.countedAfter),
+            countedFrom = old?.countedFrom ?: maxOf(now + origin.countedAfter, promisedUntil),
             renewedAt = origin.startedAt,
             successor = newValue.successor,
             attemptedAt = old?.attemptedAt ?: origin.startedAt,
@@ -160,4 +182,9 @@
         newValue.holder == settings.host && newValue.incarnation == settings.incarnation
 
     private fun possibleWrites(): List<SlotWrite> = unconfirmed + listOfNotNull(writing)
+
+    private companion object {
+        /** Time after a failed write before it is tried again, unless the object is read before. */
+        val RETRY_PAUSE = 1.seconds
+    }
 }
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/EntryState.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/EntryState.kt
@@ -3,27 +3,43 @@
 import tanagerlane.inventory.Configuration
 import tanagerlane.inventory.Rules
 import tanagerlane.inventory.Service
-import tanagerlane.model.ModelName
+import tanagerlane.keys.KeyRing
+import tanagerlane.keys.PresentedKey
+import tanagerlane.model.HostName
 import tanagerlane.model.ServiceName
 import tanagerlane.model.TargetName
+import tanagerlane.model.WorkspaceName
+import tanagerlane.routing.SidecarSubset
 
 /** One configuration, indexed for serving callers. */
 internal class EntryState(
     val configuration: Configuration,
 ) {
-    val keys: KeyLookup = KeyLookup(configuration.keys)
+    private val keys = KeyRing.of(configuration)
     val chatParser: ChatRequestParser = ChatRequestParser(configuration.inventory.models)
     val rules: Rules = configuration.inventory.rules
 
     private val services = configuration.inventory.services.associateBy { it.name }
-    private val serving = configuration.inventory.targets.filterNot { it.leaving }
+
+    /** Workspace of the key in the header [authorization], or null when there is no valid key. */
+    fun workspaceOf(authorization: String?): WorkspaceName? {
+        val key = authorization?.takeIf { it.startsWith(KEY_SCHEME) } ?: return null
+        return keys.find(PresentedKey(key.removePrefix(KEY_SCHEME)))?.workspace
+    }
 
     /** The service called [name], or null. */
     fun service(name: ServiceName): Service? = services[name]
 
-    /** Targets that serve [model] and are not leaving. */
-    fun targetsOf(model: ModelName): List<TargetName> = serving.filter { model in it.models }.map { it.name }
+    /** Targets to whose sidecars the entry [host] keeps connections: a bounded number for each model and service. */
+    fun sidecarsUsedBy(host: HostName): Set<TargetName> {
+        val inventory = configuration.inventory
+        val forModels = inventory.models.map { model -> inventory.targets.filter { model.name in it.models } }
+        val forServices = inventory.services.map { service -> inventory.targets.filter { service.name in it.services } }
+        return (forModels + forServices).flatMapTo(HashSet()) { SidecarSubset.of(host, it, SIDECARS_PER_SERVICE) }
+    }
 
-    /** Targets that offer [service] and are not leaving. */
-    fun targetsOf(service: ServiceName): List<TargetName> = serving.filter { service in it.services }.map { it.name }
+    private companion object {
+        const val KEY_SCHEME = "Bearer "
+        const val SIDECARS_PER_SERVICE = 24
+    }
 }
--- a/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/SidecarDaemon.kt
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/SidecarDaemon.kt
@@ -16,9 +16,8 @@
 import tanagerlane.attempts.AttemptTable
 import tanagerlane.batch.BatchRules
 import tanagerlane.batch.Claimant
+import tanagerlane.configuration.RelayMember
 import tanagerlane.inventory.Configuration
-import tanagerlane.inventory.Inventory
-import tanagerlane.inventory.Target
 import tanagerlane.jobs.BatchTarget
 import tanagerlane.jobs.BatchWorker
 import tanagerlane.limits.ArrivalGuard
@@ -27,17 +26,21 @@
 import tanagerlane.message.Hello
 import tanagerlane.message.HostRole
 import tanagerlane.message.LoadReport
+import tanagerlane.message.WireMessage
+import tanagerlane.model.HostName
 import tanagerlane.model.Incarnation
-import tanagerlane.model.ModelName
-import tanagerlane.model.WorkspaceName
 import tanagerlane.platform.MemberRegistration
 import tanagerlane.platform.MonotonicClock
 import tanagerlane.platform.OperatorServer
 import tanagerlane.platform.PrefixWatcher
 import tanagerlane.platform.StoredDocuments
+import tanagerlane.platform.configuration.ConfigurationFollower
 import tanagerlane.settings.SidecarSettings
+import tanagerlane.sidecar.engine.TargetScheduler
 import tanagerlane.store.ObjectStore
 import tanagerlane.store.StoredObject
+import tanagerlane.wire.MemberDirectory
+import tanagerlane.wire.PeerConnections
 import tanagerlane.wire.WireAddress
 import tanagerlane.wire.WireEndpoint
 import tanagerlane.wire.WireFault
@@ -58,24 +61,44 @@
     private val client = TargetClient(vertx, settings.targetUrl)
     private val endpoint = WireEndpoint(hello(), scope, now = clock::now)
     private val registration = MemberRegistration(store)
+    private val directory = MemberDirectory(settings.host.name)
+    private val peers = PeerConnections(endpoint, scope, directory::addressOf, ::receive)
+    private val follower =
+        ConfigurationFollower(
+            host = settings.host.name,
+            failureDomain = settings.host.failureDomain,
+            store = store,
+            send = peers::send,
+            now = clock::now,
+            onAccepted = ::takeConfiguration,
+        )
+    private val scheduler =
+        TargetScheduler(
+            vertx = vertx,
+            targetUrl = settings.targetUrl,
+            settings = TargetView.queueSettingsOf(window = 1),
+            call = client::run,
+            weightOf = { view?.weightOf(it) ?: 1 },
+            now = clock::now,
+        )
     private val guard = ArrivalGuard(incarnation, LimitTimes().permitValidity)
-    private val attempts = AttemptServer(table, guard, scope, client::run, ::loadReport, { _, _ -> }, clock::now)
-    private val items = ItemRunner(client::run, maximumTokens = { maximumTokensOf(it.model) })
+    private val attempts = AttemptServer(table, guard, scope, scheduler::run, ::loadReport, ::receive, clock::now)
+    private val items = ItemRunner(scheduler::run, maximumTokens = { view?.maximumTokensOf(it.model) ?: 1 })
     private val batch =
         BatchWorker(
             scope = scope,
             store = store,
             claimant = Claimant(settings.host.name, incarnation),
             rules = BatchRules(pause = 1.seconds),
-            target = BatchTarget(::servedModels, ::idleCapacity, items::run),
+            target = BatchTarget(models = { view?.models.orEmpty() }, ::idleCapacity, items::run),
             registry = registry,
-            weightOf = ::weightOf,
+            weightOf = { view?.weightOf(it) ?: 1 },
             now = clock::now,
         )
     private val operators = OperatorServer(vertx, registry, ready = { !draining }, status = ::status)
 
     @Volatile
-    private var inventory: Inventory? = null
+    private var view: TargetView? = null
 
     @Volatile
     private var draining = false
@@ -89,8 +112,10 @@
         return endpoint.listen(address, attempts::serve).map { bound ->
             operators.start(settings.host.address, settings.host.operatorPort)
             scope.launch { attempts.expireLoop() }
+            scope.launch { scheduler.tickLoop() }
             scope.launch { reportLoop() }
-            scope.launch { PrefixWatcher(store, CONFIGURATION_PREFIX).follow { takeConfiguration(it.values) } }
+            scope.launch { follower.run() }
+            scope.launch { PrefixWatcher(store, MemberRegistration.PREFIX).follow { takeMembers(it.values) } }
             batch.start()
             register(bound)
             logger.info("sidecar of {} listens on {}", settings.target, bound)
@@ -104,6 +129,7 @@
         attempts.broadcast(loadReport())
         member?.let { registration.remove(it) }
         batch.stop(BATCH_DRAIN)
+        scheduler.drain()
         while (attempts.running > 0) {
             delay(DRAIN_INTERVAL)
         }
@@ -117,30 +143,31 @@
         operators.stop()
     }
 
-    private fun takeConfiguration(objects: Collection<StoredObject>) {
-        val newest =
-            objects
-                .mapNotNull { StoredDocuments.decode(Configuration.serializer(), it.value).get() }
-                .maxByOrNull { it.revision.number } ?: return
-        inventory = newest.inventory
-        logger.info("configuration {} in force", newest.revision)
+    private fun receive(
+        from: HostName,
+        message: WireMessage,
+    ) {
+        follower.receive(from, message)
     }
 
-    private fun targetOrNull(): Target? = inventory?.targets?.find { it.name == settings.target }
+    private fun takeConfiguration(configuration: Configuration) {
+        val current = TargetView(configuration.inventory, settings.target)
+        view = current
+        scheduler.configure(current.queueSettings)
+    }
 
-    private fun servedModels(): Set<ModelName> = targetOrNull()?.models.orEmpty().toSet()
+    private fun takeMembers(objects: Collection<StoredObject>) {
+        val members = objects.mapNotNull { StoredDocuments.decode(Member.serializer(), it.value).get() }
+        directory.update(members)
+        follower.replaceMembers(members.mapTo(HashSet()) { RelayMember(it.host, it.failureDomain) })
+    }
 
+    /** Items that may run now: what online requests leave of the window. */
     private fun idleCapacity(): Int {
-        val window = targetOrNull()?.window ?: 0
-        return (window - attempts.running).coerceAtLeast(0)
+        val load = scheduler.load
+        return if (draining) 0 else (load.window - load.onlineRunning - load.onlineQueued).coerceAtLeast(0)
     }
 
-    private fun weightOf(workspace: WorkspaceName): Int =
-        inventory?.workspaces?.find { it.name == workspace }?.weight ?: 1
-
-    private fun maximumTokensOf(model: ModelName): Int =
-        inventory?.models?.find { it.name == model }?.maximumTokens ?: 1
-
     private fun register(bound: WireAddress) {
         val registered =
             Member(
@@ -162,15 +189,17 @@
         }
     }
 
-    private fun loadReport(): LoadReport =
-        LoadReport(
+    private fun loadReport(): LoadReport {
+        val load = scheduler.load
+        return LoadReport(
             target = settings.target,
-            onlineQueued = 0,
-            onlineRunning = attempts.running,
-            window = DEFAULT_WINDOW,
-            draining = draining,
+            onlineQueued = load.onlineQueued,
+            onlineRunning = load.onlineRunning,
+            window = load.window,
+            draining = draining || view?.isLeaving != false,
             admission = guard.nonce(clock.now()),
         )
+    }
 
     private fun hello(): Hello =
         Hello(
@@ -185,8 +214,6 @@
         """{"role":"sidecar","host":"${settings.host.name}","target":"${settings.target}","running":${attempts.running}}"""
 
     private companion object {
-        const val CONFIGURATION_PREFIX = "configuration/"
-        const val DEFAULT_WINDOW = 16
         val BATCH_DRAIN = 5.seconds
         val REPORT_INTERVAL = 500.milliseconds
         val DRAIN_INTERVAL = 50.milliseconds
