--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/EntryDaemon.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/EntryDaemon.kt
@@ -244,7 +244,8 @@
         )
 
     private fun status(): String =
-        """{"role":"entry","host":"${settings.host.name}","revision":${state?.configuration?.revision ?: 0}}"""
+        """{"role":"entry","host":"${settings.host.name}","revision":${state?.configuration?.revision ?: 0},""" +
+            """"ready":$isReady,"usableTargets":${links.usable().size}}"""
 
     private companion object {
         val DRAIN_INTERVAL = 50.milliseconds
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/SidecarLinks.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/SidecarLinks.kt
@@ -42,6 +42,9 @@
     /** Targets whose sidecars are connected. */
     fun connected(): List<TargetName> = links.values.filter { it.link.incarnation != null }.map { it.link.target }
 
+    /** Targets whose sidecars are connected and take new work. */
+    fun usable(): List<TargetName> = connected().filter { reports[it]?.draining == false }
+
     /**
      * Follows the registrations of the sidecars that this entry uses.
      *
--- a/tanagerlane-standin/src/main/kotlin/tanagerlane/standin/http/TargetServer.kt
+++ b/tanagerlane-standin/src/main/kotlin/tanagerlane/standin/http/TargetServer.kt
@@ -15,6 +15,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.serialization.SerializationException
+import kotlinx.serialization.builtins.ListSerializer
 import tanagerlane.message.Header
 import tanagerlane.model.Payload
 
@@ -35,12 +36,15 @@
     @Volatile
     private var observer: (RoutingContext) -> Unit = {}
 
-    /** The most recent calls, oldest first, without those that control faults. */
+    /** The most recent calls, oldest first, without those that control faults; also at `GET /calls`. */
     public val calls: List<ReceivedCall> get() = synchronized(recorded) { recorded.toList() }
 
     init {
         router.route().handler(BodyHandler.create(false))
         router.put("/faults").handler { routing -> changeFaults(routing) }
+        router.get("/calls").handler { routing ->
+            routing.answer(ListSerializer(CallDocument.serializer()), documents())
+        }
     }
 
     /** Adds routes; calls of [control] routes are neither recorded nor touched by faults. */
@@ -123,6 +127,8 @@
         }
     }
 
+    private fun documents(): List<CallDocument> = calls.map { CallDocument(it) }
+
     private fun changeFaults(routing: RoutingContext) {
         try {
             faults = routing.read(TargetFaults.serializer())
