--- a/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/SidecarDaemon.kt
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/SidecarDaemon.kt
@@ -106,6 +106,8 @@
     @Volatile
     private var member: Member? = null
 
+    private val takesNoWork: Boolean get() = draining || view?.isLeaving != false
+
     /** Starts to listen and registers; returns the address for other processes. */
     public suspend fun start(): Result<WireAddress, WireFault> {
         val address = WireAddress(settings.host.address, settings.host.wirePort)
@@ -162,10 +164,10 @@
         follower.replaceMembers(members.mapTo(HashSet()) { RelayMember(it.host, it.failureDomain) })
     }
 
-    /** Items that may run now: what online requests leave of the window. */
+    /** Items that may run now: what online requests leave of the window, and none while no new work is taken. */
     private fun idleCapacity(): Int {
         val load = scheduler.load
-        return if (draining) 0 else (load.window - load.onlineRunning - load.onlineQueued).coerceAtLeast(0)
+        return if (takesNoWork) 0 else (load.window - load.onlineRunning - load.onlineQueued).coerceAtLeast(0)
     }
 
     private fun register(bound: WireAddress) {
@@ -196,7 +198,7 @@
             onlineQueued = load.onlineQueued,
             onlineRunning = load.onlineRunning,
             window = load.window,
-            draining = draining || view?.isLeaving != false,
+            draining = takesNoWork,
             admission = guard.nonce(clock.now()),
         )
     }
