--- a/tanagerlane-cli/src/test/kotlin/tanagerlane/cli/experiment/QueueingExperimentTest.kt
+++ b/tanagerlane-cli/src/test/kotlin/tanagerlane/cli/experiment/QueueingExperimentTest.kt
@@ -1,10 +1,10 @@
 package tanagerlane.cli.experiment
 
 import io.kotest.core.spec.style.FunSpec
-import io.kotest.matchers.doubles.shouldBeGreaterThanOrEqual
-import io.kotest.matchers.doubles.shouldBeLessThanOrEqual
 import io.kotest.matchers.comparables.shouldBeGreaterThan
 import io.kotest.matchers.comparables.shouldBeLessThan
+import io.kotest.matchers.doubles.shouldBeGreaterThanOrEqual
+import io.kotest.matchers.doubles.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
 import tanagerlane.model.WorkspaceName
 import kotlin.time.Duration
@@ -18,7 +18,10 @@
             val batch = QueueingTraffic(1)
             val scenario =
                 QueueingScenario(
-                    online = List(window) { QueueingArrival(1.minutes, WorkspaceName("crews"), listOf("frost $it"), 40) },
+                    online =
+                        List(
+                            window,
+                        ) { QueueingArrival(1.minutes, WorkspaceName("crews"), listOf("frost $it"), 40) },
                     batch = { batch.arrival(Duration.ZERO, WorkspaceName("captions")) },
                     length = 2.minutes,
                 )
--- a/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/engine/EventParser.kt
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/engine/EventParser.kt
@@ -8,7 +8,10 @@
     private val data = ArrayList<String>()
 
     /** Takes in [bytes] and returns the data of the events that they complete. */
-    fun accept(bytes: ByteArray): List<String> = bytes.toList().mapNotNull { accept(it) }
+    fun accept(bytes: ByteArray): List<String> =
+        buildList {
+            bytes.forEach { byte -> accept(byte)?.let(::add) }
+        }
 
     private fun accept(byte: Byte): String? =
         if (byte == LINE_FEED) {
