Let attempts that did not run take no room, and end those that are stopped

Reading the daemons against the table showed two leaks. An attempt that its queue refused stayed a record until its deadline, so a sidecar that refuses much would have filled its table and then refused work for which it had room. An attempt that was cancelled while it ran stayed running for good unless the daemon failed it. The first now leaves a tombstone and, within a bound, its reason; the second ends as unknown at once.

AttemptTableTest failed first: size 1 instead of 0, and a fragment delivered after the stop. A test with four threads shows one run and one call for each attempt.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/attempts/AttemptShard.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/attempts/AttemptShard.kt
@@ -13,7 +13,6 @@
 import tanagerlane.model.Payload
 import tanagerlane.model.RefusalReason
 import tanagerlane.model.RunState
-import tanagerlane.routing.StableHash
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
@@ -24,7 +23,7 @@
     private val limits: AttemptLimits,
 ) {
     private val records = LinkedHashMap<AttemptId, AttemptRecord>()
-    private val tombstones = TombstoneFilter(limits.tombstoneBits, limits.tombstoneRetention)
+    private val notRun = NotRunAttempts(limits)
     private val maximumRecords = limits.maximumAttempts / limits.shards
     private val maximumBytes = limits.maximumBytes / limits.shards
     private var expireAt = Instant.DISTANT_PAST
@@ -110,7 +109,13 @@
         runState: RunState,
         reason: RefusalReason,
         now: Instant,
-    ): Delivery? = update(attempt, now) { it.fail(runState, reason, now) }
+    ): Delivery? =
+        update(attempt, now) { record ->
+            when (runState) {
+                RunState.NOT_RUN -> record.failNotRun(reason, now)
+                RunState.UNKNOWN -> record.failUnknown(reason, now)
+            }
+        }
 
     @Synchronized
     fun resolve(
@@ -121,8 +126,7 @@
         expireLocked(now)
         val record = records[resolve.attempt]
         if (record == null) {
-            tombstones.add(hash(resolve.attempt), now)
-            return listOf(NeverSeen(resolve.attempt, incarnation))
+            return listOf(notRun.failureOf(resolve.attempt) ?: neverSeen(resolve.attempt, now))
         }
         record.attach(session)
         return record.messagesFrom(resolve.received)
@@ -135,9 +139,9 @@
     ): CancelDecision {
         val record = records[attempt]
         return when {
-            record == null -> CancelDecision.NOTHING.also { tombstones.add(hash(attempt), now) }
+            record == null -> CancelDecision.NOTHING.also { notRun.add(attempt, now) }
             record.outcome != null -> CancelDecision.NOTHING
-            record.started -> CancelDecision.STOP
+            record.started -> CancelDecision.STOP.also { record.failUnknown(RefusalReason.OUTCOME_UNKNOWN, now) }
             else -> CancelDecision.NOT_STARTED.also { record.failNotRun(RefusalReason.DEADLINE_EXCEEDED, now) }
         }
     }
@@ -168,11 +172,10 @@
     ): OfferDecision {
         val expected = offer.expectedIncarnation
         if (expected != null && expected != incarnation) {
-            tombstones.add(hash(offer.attempt), now)
-            return OfferDecision.WrongIncarnation(NeverSeen(offer.attempt, incarnation))
+            return OfferDecision.WrongIncarnation(neverSeen(offer.attempt, now))
         }
         val reason = refusalOf(offer, source, now) ?: return run(offer, source, now)
-        tombstones.add(hash(offer.attempt), now)
+        notRun.add(offer.attempt, now)
         return OfferDecision.Refused(NotRun(offer.attempt, reason))
     }
 
@@ -182,7 +185,7 @@
         now: Instant,
     ): RefusalReason? =
         when {
-            tombstones.contains(hash(offer.attempt), now) -> RefusalReason.OVERLOADED
+            notRun.contains(offer.attempt, now) -> RefusalReason.OVERLOADED
             offer.remaining <= Duration.ZERO -> RefusalReason.DEADLINE_EXCEEDED
             now - source.freshAt > limits.freshness -> RefusalReason.NO_TARGET
             records.size >= maximumRecords -> RefusalReason.OVERLOADED
@@ -205,17 +208,30 @@
         return OfferDecision.Run(listOf(Accepted(offer.attempt, incarnation)))
     }
 
+    private fun neverSeen(
+        attempt: AttemptId,
+        now: Instant,
+    ): NeverSeen {
+        notRun.add(attempt, now)
+        return NeverSeen(attempt, incarnation)
+    }
+
     private fun AttemptRecord.failNotRun(
         reason: RefusalReason,
         now: Instant,
-    ): Delivery? = fail(RunState.NOT_RUN, reason, now)
+    ): Delivery? {
+        val failed = AttemptFailed(attempt, RunState.NOT_RUN, reason)
+        records.remove(attempt)
+        notRun.add(failed, now)
+        this@AttemptShard.bufferedBytes -= dropBytes()
+        return delivery(failed)
+    }
 
-    private fun AttemptRecord.fail(
-        runState: RunState,
+    private fun AttemptRecord.failUnknown(
         reason: RefusalReason,
         now: Instant,
     ): Delivery? {
-        val failed = AttemptFailed(attempt, runState, reason)
+        val failed = AttemptFailed(attempt, RunState.UNKNOWN, reason)
         end(failed, now)
         this@AttemptShard.bufferedBytes -= dropBytes()
         return delivery(failed)
@@ -257,8 +273,6 @@
         now: Instant,
     ): Boolean = this != null && now - this >= bound
 
-    private fun hash(attempt: AttemptId): Long = StableHash.mix(StableHash.of(attempt.request.text) + attempt.number)
-
     private companion object {
         val EXPIRY_INTERVAL = 1.seconds
     }
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/attempts/CancelDecision.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/attempts/CancelDecision.kt
@@ -2,7 +2,7 @@
 
 /** What a sidecar does when an attempt is cancelled. */
 public enum class CancelDecision {
-    /** The target was called: cancel the call there. */
+    /** The target was called: cancel the call there; whatever it still answers is dropped. */
     STOP,
 
     /** The target was not called and will not be: take the attempt out of the queue. */
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/attempts/AttemptTableTest.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/attempts/AttemptTableTest.kt
@@ -22,6 +22,8 @@
 import tanagerlane.model.RequestId
 import tanagerlane.model.RunState
 import tanagerlane.model.WorkspaceName
+import java.util.concurrent.Callable
+import java.util.concurrent.Executors
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -72,6 +74,50 @@
             table.start(other, NOW) shouldBe StartDecision.Skip(null)
         }
 
+        test("an attempt that did not run takes no room from others and is still told so") {
+            val table = AttemptTable(INCARNATION, AttemptLimits(shards = 1, maximumAttempts = 1))
+            table.offer(OFFER, SOURCE, NOW)
+            table.fail(ATTEMPT, RunState.NOT_RUN, RefusalReason.OVERLOADED, NOW)
+            table.size shouldBe 0
+            table.resolve(Resolve(ATTEMPT, received = 0), NEWER, NOW) shouldBe
+                listOf(AttemptFailed(ATTEMPT, RunState.NOT_RUN, RefusalReason.OVERLOADED))
+            table.offer(OFFER, SOURCE, NOW) shouldBe refused(RefusalReason.OVERLOADED)
+            val other = ATTEMPT.copy(number = 2)
+            table.offer(OFFER.copy(attempt = other), SOURCE, NOW) shouldBe
+                OfferDecision.Run(listOf(Accepted(other, INCARNATION)))
+        }
+
+        test("an attempt that was stopped while it ran has ended with an unknown outcome") {
+            val table = AttemptTable(INCARNATION)
+            table.offer(OFFER, SOURCE, NOW)
+            table.start(ATTEMPT, NOW)
+            table.cancel(Cancel(ATTEMPT), NOW) shouldBe CancelDecision.STOP
+            table.append(ATTEMPT, Payload.of("late"), NOW) shouldBe null
+            table.resolve(Resolve(ATTEMPT, received = 0), NEWER, NOW) shouldBe
+                listOf(AttemptFailed(ATTEMPT, RunState.UNKNOWN, RefusalReason.OUTCOME_UNKNOWN))
+            table.expire(NOW + 60.seconds)
+            table.size shouldBe 0
+        }
+
+        test("of many threads that offer and start one attempt one runs it and one calls the target") {
+            val table = AttemptTable(INCARNATION)
+            val attempts = List(200) { AttemptId(RequestId("request-$it"), 1) }
+            val threads = Executors.newFixedThreadPool(4)
+            val tasks =
+                List(4) {
+                    Callable {
+                        attempts.map { attempt ->
+                            val offered = table.offer(OFFER.copy(attempt = attempt), SOURCE, NOW) is OfferDecision.Run
+                            offered to (table.start(attempt, NOW) == StartDecision.Call)
+                        }
+                    }
+                }
+            val outcomes = threads.invokeAll(tasks).flatMap { it.get() }
+            threads.shutdown()
+            outcomes.count { it.first } shouldBe 200
+            outcomes.count { it.second } shouldBe 200
+        }
+
         test("an answer that no longer fits is given up and said to be unknown") {
             val table = AttemptTable(INCARNATION, AttemptLimits(shards = 1, maximumBytes = 4))
             table.offer(OFFER, SOURCE, NOW)
