--- a/tanagerlane-core/src/main/kotlin/tanagerlane/idempotency/ClaimShards.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/idempotency/ClaimShards.kt
@@ -26,4 +26,10 @@
         shard: ObjectKey,
         targets: Collection<TargetName>,
     ): TargetName? = RendezvousHash.best(shard.path, targets) { it.text }
+
+    /** Returns all [targets] in the order in which they become the home of [shard] as those before them are lost. */
+    public fun homesOf(
+        shard: ObjectKey,
+        targets: Collection<TargetName>,
+    ): List<TargetName> = RendezvousHash.ranked(shard.path, targets) { it.text }
 }
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/routing/Router.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/routing/Router.kt
@@ -24,6 +24,13 @@
         now: Instant,
     ): Route? = directory.claim(query, now) { candidates -> choose(query, candidates) }
 
+    /** Returns [target] for [query], or null when it may not take work. */
+    public fun routeTo(
+        target: TargetName,
+        query: RouteQuery,
+        now: Instant,
+    ): Route? = directory.claim(query, now) { candidates -> candidates.find { it.declared.name == target } }
+
     /** Notes that an attempt on [target] is over. */
     public fun finished(target: TargetName): Unit = directory.release(target)
 
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/OnlineRequest.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/OnlineRequest.kt
@@ -1,5 +1,6 @@
 package tanagerlane.entry
 
+import tanagerlane.message.Repeat
 import tanagerlane.message.Work
 import tanagerlane.model.RequestId
 import tanagerlane.model.WorkspaceName
@@ -12,6 +13,7 @@
  * @property charge proof that the request was charged to a rate
  * @property idempotent whether a second run would do no harm
  * @property traceParent W3C trace context of the entry's span
+ * @property repeat set when the client named a key for repeats
  */
 internal data class OnlineRequest(
     val id: RequestId,
@@ -21,4 +23,5 @@
     val deadline: Instant,
     val work: Work,
     val traceParent: String?,
+    val repeat: Repeat?,
 )
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/OnlineRoutes.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/OnlineRoutes.kt
@@ -11,7 +11,9 @@
 import tanagerlane.attempts.AttemptEvent
 import tanagerlane.caller.ModelDocument
 import tanagerlane.caller.ModelsDocument
+import tanagerlane.idempotency.IdempotencyKey
 import tanagerlane.inventory.ServiceRoute
+import tanagerlane.message.Repeat
 import tanagerlane.message.RouteLimit
 import tanagerlane.message.ServiceWork
 import tanagerlane.message.Work
@@ -55,8 +57,9 @@
             val workspace = gate.workspaceOf(state, exchange).bind()
             val work = state.chatParser.parse(exchange.body).bind()
             val allowed = allowedTime(exchange, state).bind()
+            val repeat = repeatOf(exchange, workspace, work).bind()
             val charge = charging.charge(WorkspaceLimit(workspace)).bind()
-            requestOf(exchange, allowed, charge, work, idempotent = true)
+            requestOf(exchange, allowed, charge, work, idempotent = true).copy(repeat = repeat)
         }.onOk { run(exchange, it, "chat") }
             .onErr { exchange.refuse(it) }
     }
@@ -72,9 +75,11 @@
             val workspace = payerOf(route, state, exchange).bind()
             val served = route ?: Err(refusal(RefusalReason.NOT_FOUND)).bind()
             val allowed = allowedTime(exchange, state).bind()
+            val work = workOf(exchange, name, path)
+            val repeat = repeatOf(exchange, workspace, work).bind()
             val key = workspace?.let { WorkspaceLimit(it) } ?: RouteLimit(name, served.prefix)
             val charge = charging.charge(key).bind()
-            requestOf(exchange, allowed, charge, workOf(exchange, name, path), exchange.method in served.repeatable)
+            requestOf(exchange, allowed, charge, work, exchange.method in served.repeatable).copy(repeat = repeat)
         }.onOk { run(exchange, it, "service") }
             .onErr { exchange.refuse(it) }
     }
@@ -126,8 +131,23 @@
             deadline = now() + allowed,
             work = work,
             traceParent = exchange.header("traceparent"),
+            repeat = null,
         )
 
+    /** The key for repeats, where one was sent; requests that belong to no workspace have none. */
+    private fun repeatOf(
+        exchange: CallerExchange,
+        workspace: WorkspaceName?,
+        work: Work,
+    ): Result<Repeat?, CallerRefusal> {
+        val key = exchange.header(REPEAT_HEADER)
+        return when {
+            key == null || workspace == null -> Ok(null)
+            key.isEmpty() || key.length > MAXIMUM_REPEAT_KEY -> Err(malformed("The header $REPEAT_HEADER is too long."))
+            else -> Ok(Repeat(IdempotencyKey(key), workDigest(work)))
+        }
+    }
+
     private fun allowedTime(
         exchange: CallerExchange,
         state: EntryState,
@@ -135,14 +155,13 @@
         val asked = exchange.header(TIMEOUT_HEADER) ?: return Ok(state.rules.onlineDeadline)
         val milliseconds = asked.toLongOrNull()
         return when {
-            milliseconds == null -> Err(malformedTimeout(asked))
+            milliseconds == null -> Err(malformed("The header $TIMEOUT_HEADER is not a number: $asked"))
             milliseconds <= 0 -> Err(refusal(RefusalReason.DEADLINE_EXCEEDED))
             else -> Ok(milliseconds.milliseconds)
         }
     }
 
-    private fun malformedTimeout(text: String) =
-        CallerRefusal(RefusalReason.MALFORMED, RunState.NOT_RUN, "The header $TIMEOUT_HEADER is not a number: $text")
+    private fun malformed(explanation: String) = CallerRefusal(RefusalReason.MALFORMED, RunState.NOT_RUN, explanation)
 
     private suspend fun run(
         exchange: CallerExchange,
@@ -164,6 +183,8 @@
 
     private companion object {
         const val OK = 200
+        const val REPEAT_HEADER = "idempotency-key"
+        const val MAXIMUM_REPEAT_KEY = 255
         const val TIMEOUT_HEADER = "x-timeout-milliseconds"
     }
 }
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/RequestRunner.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/RequestRunner.kt
@@ -145,6 +145,7 @@
                 work = request.work,
                 expectedIncarnation = action.expectedIncarnation,
                 traceParent = request.traceParent,
+                repeat = request.repeat,
                 admission = request.charge.nonces[action.target],
             )
 
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/TargetPicker.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/TargetPicker.kt
@@ -2,14 +2,20 @@
 
 import tanagerlane.attempts.AttemptAction
 import tanagerlane.attempts.AttemptEvent
+import tanagerlane.idempotency.ClaimKey
+import tanagerlane.idempotency.ClaimShards
 import tanagerlane.inventory.Inventory
+import tanagerlane.inventory.Target
 import tanagerlane.message.ChatWork
 import tanagerlane.message.LoadReport
+import tanagerlane.message.Repeat
 import tanagerlane.message.ServiceWork
+import tanagerlane.message.Work
 import tanagerlane.model.FailureDomain
 import tanagerlane.model.RefusalReason
 import tanagerlane.model.TargetName
 import tanagerlane.routing.RetryBudget
+import tanagerlane.routing.Route
 import tanagerlane.routing.RouteQuery
 import tanagerlane.routing.Router
 import tanagerlane.routing.SidecarDirectory
@@ -24,12 +30,16 @@
     private val directory = SidecarDirectory()
     private val router = Router(directory, failureDomain, Random.Default)
 
+    @Volatile
+    private var targets: List<Target> = emptyList()
+
     @Volatile
     private var retries = RetryBudget(DEFAULT_RETRY_RATIO)
 
     /** Puts the targets and rules of [inventory] in force. */
     fun configure(inventory: Inventory) {
         directory.declare(inventory.targets)
+        targets = inventory.targets
         retries = RetryBudget(inventory.rules.retryRatio)
     }
 
@@ -55,7 +65,8 @@
         if (!mayTry(action.attemptNumber)) {
             return AttemptEvent.NoTarget(RefusalReason.OVERLOADED)
         }
-        val route = router.route(queryOf(request, action.tried), now())
+        val query = queryOf(request, action.tried)
+        val route = request.repeat?.let { home(request, it, query) } ?: router.route(query, now())
         if (route == null || route.target !in request.charge.nonces) {
             route?.let { finished(it.target) }
             return AttemptEvent.NoTarget(RefusalReason.NO_TARGET)
@@ -63,6 +74,27 @@
         return AttemptEvent.TargetPicked(route.target, route.incarnation)
     }
 
+    /** The sidecar at which repeats of the request meet, or the next in order while that one can't take work. */
+    private fun home(
+        request: OnlineRequest,
+        repeat: Repeat,
+        query: RouteQuery,
+    ): Route? {
+        val workspace = request.workspace ?: return null
+        val shard = ClaimShards.objectOf(ClaimKey(workspace, repeat.key))
+        val homes = ClaimShards.homesOf(shard, targetsFor(request.work))
+        return homes.firstNotNullOfOrNull { router.routeTo(it, query, now()) }
+    }
+
+    private fun targetsFor(work: Work): List<TargetName> {
+        val serving =
+            when (work) {
+                is ChatWork -> targets.filter { work.model in it.models }
+                is ServiceWork -> targets.filter { work.service in it.services }
+            }
+        return serving.map { it.name }
+    }
+
     /** Notes that an attempt on [target] is over. */
     fun finished(target: TargetName) {
         router.finished(target)
--- /dev/null
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/SharedAnswer.kt
@@ -0,0 +1,106 @@
+package tanagerlane.sidecar
+
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
+import tanagerlane.message.Header
+import tanagerlane.model.Payload
+import tanagerlane.model.RefusalReason
+import tanagerlane.model.RunState
+
+/** The answer of one run, for all requests that share it. */
+internal class SharedAnswer {
+    private val parts = MutableStateFlow(emptyList<Part>())
+
+    /** Whether the run has ended without a whole answer. */
+    val hasFailed: Boolean get() = parts.value.lastOrNull() is Part.Failed
+
+    /** The whole answer so far: status, headers and body; null before there is a head. */
+    val head: Part.Head? get() = parts.value.firstOrNull() as? Part.Head
+
+    /** Body as far as it has come. */
+    val body: Payload
+        get() {
+            val pieces = parts.value.filterIsInstance<Part.Bytes>().map { it.bytes.toByteArray() }
+            return Payload.of(pieces.fold(ByteArray(0)) { whole, piece -> whole + piece })
+        }
+
+    /** Returns a sink that passes everything on to [sink] and keeps it. */
+    fun recording(sink: AnswerSink): AnswerSink =
+        AnswerSink(
+            begin = sink.begin,
+            head = { status, headers ->
+                add(Part.Head(status, headers))
+                sink.head(status, headers)
+            },
+            bytes = {
+                add(Part.Bytes(it))
+                sink.bytes(it)
+            },
+            end = {
+                add(Part.End)
+                sink.end()
+            },
+            fail = { runState, reason ->
+                add(Part.Failed(runState, reason))
+                sink.fail(runState, reason)
+            },
+        )
+
+    /** Notes that the run was given up; does nothing where it has ended. */
+    fun abandon() {
+        if (parts.value.lastOrNull()?.isLast != true) {
+            add(Part.Failed(RunState.UNKNOWN, RefusalReason.OUTCOME_UNKNOWN))
+        }
+    }
+
+    /** Passes the answer on to [sink] from its beginning, as it comes. */
+    suspend fun replayTo(sink: AnswerSink) {
+        var passed = 0
+        while (true) {
+            val part = parts.first { it.size > passed }[passed]
+            pass(part, sink)
+            passed += 1
+            if (part.isLast) {
+                return
+            }
+        }
+    }
+
+    private fun add(part: Part) {
+        parts.value += part
+    }
+
+    private suspend fun pass(
+        part: Part,
+        sink: AnswerSink,
+    ) {
+        when (part) {
+            is Part.Head -> sink.head(part.status, part.headers)
+            is Part.Bytes -> sink.bytes(part.bytes)
+            is Part.End -> sink.end()
+            is Part.Failed -> sink.fail(part.runState, part.reason)
+        }
+    }
+
+    /** A piece of an answer. */
+    sealed interface Part {
+        /** Whether nothing follows. */
+        val isLast: Boolean get() = this is End || this is Failed
+
+        data class Head(
+            val status: Int,
+            val headers: List<Header>,
+        ) : Part
+
+        data class Bytes(
+            val bytes: Payload,
+        ) : Part
+
+        data object End : Part
+
+        data class Failed(
+            val runState: RunState,
+            val reason: RefusalReason,
+        ) : Part
+    }
+}
--- a/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/SidecarDaemon.kt
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/SidecarDaemon.kt
@@ -81,8 +81,10 @@
             weightOf = { view?.weightOf(it) ?: 1 },
             now = clock::now,
         )
+    private val claims = ClaimKeeper(settings.target, incarnation, store, clock::now)
+    private val repeats = RepeatRunner(settings.target, incarnation, claims, scheduler::run, clock::now)
     private val guard = ArrivalGuard(incarnation, LimitTimes().permitValidity)
-    private val attempts = AttemptServer(table, guard, scope, scheduler::run, ::loadReport, ::receive, clock::now)
+    private val attempts = AttemptServer(table, guard, scope, repeats::run, ::loadReport, ::receive, clock::now)
     private val items = ItemRunner(scheduler::run, maximumTokens = { view?.maximumTokensOf(it.model) ?: 1 })
     private val batch =
         BatchWorker(
