Store a restarted entry's copied refusals, and test stops and refusals

The recorder told the copies only of entries whose registration was gone, so what an earlier incarnation left on its peer was never stored when the entry came back under its name. It now passes on the incarnations. The scenarios of stops and refusals have not run in this form yet.

--- a/tanagerlane-cli/src/test/kotlin/tanagerlane/scenario/ForwardingLink.kt
+++ b/tanagerlane-cli/src/test/kotlin/tanagerlane/scenario/ForwardingLink.kt
@@ -3,7 +3,6 @@
 import java.io.IOException
 import java.io.InputStream
 import java.net.InetAddress
-import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
@@ -44,7 +43,7 @@
         try {
             while (true) {
                 val near = listener.accept()
-                val far = Socket().apply { connect(InetSocketAddress("127.0.0.1", port)) }
+                val far = Socket("127.0.0.1", port)
                 pairs += Pair(near, far).apply { start() }
             }
         } catch (_: IOException) {
--- a/tanagerlane-cli/src/test/kotlin/tanagerlane/scenario/RequestFaultScenarioTest.kt
+++ b/tanagerlane-cli/src/test/kotlin/tanagerlane/scenario/RequestFaultScenarioTest.kt
@@ -7,9 +7,6 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
-import kotlinx.serialization.json.JsonElement
-import kotlinx.serialization.json.jsonObject
-import kotlinx.serialization.json.jsonPrimitive
 import kotlin.time.Duration.Companion.seconds
 
 class RequestFaultScenarioTest :
@@ -85,17 +82,6 @@
     }
 }
 
-/** Type of a refusal and what it says about the run. */
-internal data class Refused(
-    val type: String,
-    val run: String,
-)
-
-internal fun refusalOf(body: JsonElement): Refused {
-    val error = body.jsonObject.getValue("error").jsonObject
-    return Refused(error.getValue("type").jsonPrimitive.content, error.getValue("run").jsonPrimitive.content)
-}
-
 /** Whether [answer] may be given to a call that its targets ran [runs] times. */
 private fun isTruthful(
     answer: Caller.Answer,
--- a/tanagerlane-cli/src/test/kotlin/tanagerlane/scenario/Scenario.kt
+++ b/tanagerlane-cli/src/test/kotlin/tanagerlane/scenario/Scenario.kt
@@ -103,7 +103,9 @@
         val present = store.get(key).getOrElse { error("not registered: $it") }
         val changed = present.value.toText().replace("$LOOPBACK:${node.wirePort}", link.address)
         store.put(key, Payload.of(changed), present.version).getOrElse { error("not forwarded: $it") }
-        eventually("entries connect through the link") { link.accepted >= entries.size }
+        eventually("entries connect through the link") {
+            link.accepted >= entries.size
+        }
         awaitReady(names.size)
         return link
     }
--- a/tanagerlane-cli/src/test/kotlin/tanagerlane/scenario/StopScenarioTest.kt
+++ b/tanagerlane-cli/src/test/kotlin/tanagerlane/scenario/StopScenarioTest.kt
@@ -1,12 +1,13 @@
 package tanagerlane.scenario
 
+import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
-import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
+import java.time.LocalTime
 import java.util.concurrent.atomic.AtomicBoolean
 
 class StopScenarioTest :
@@ -27,7 +28,7 @@
                 Scenario(load.engines, load.services).use { scenario ->
                     scenario.begin()
                     val results = scenario.restartAllUnder(load)
-                    results.filter { it.answer?.status != 200 }.shouldBeEmpty()
+                    withClue(scenario.logs()) { failuresOf(results) shouldBe emptyMap() }
                     val received = scenario.targets.flatMap { it.calls() }.map { it.toString() }
                     results.map { result -> received.count { result.marker in it } } shouldBe results.map { 1 }
                     results.size shouldBeGreaterThan WORKERS
@@ -46,7 +47,7 @@
                     (1..WORKERS).map { worker -> async(Dispatchers.IO) { work(worker, load, balancer, isOver) } }
                 restartAll()
                 isOver.set(true)
-                workers.flatMap { it.await() }.also { balancer.close() }
+                workers.flatMap { it.await() }.sortedBy { it.at }.also { balancer.close() }
             }
 
         suspend fun Scenario.restartAll() {
@@ -71,13 +72,20 @@
                 .toList()
         }
 
+        /** How often and between which times of day each kind of failure was seen. */
+        fun failuresOf(results: List<Sent>): Map<String, String> =
+            results
+                .filter { it.answer?.status != 200 }
+                .groupBy { it.failure ?: it.answer.toString() }
+                .mapValues { (_, sent) -> "${sent.size} of ${results.size}, ${sent.first().at} to ${sent.last().at}" }
+
         fun sent(
             marker: String,
             send: () -> Caller.Answer,
         ): Sent =
             runCatching(send).fold(
-                onSuccess = { Sent(marker, it, null) },
-                onFailure = { Sent(marker, null, it.toString()) },
+                onSuccess = { Sent(marker, it, null, LocalTime.now()) },
+                onFailure = { Sent(marker, null, it.toString(), LocalTime.now()) },
             )
     }
 
@@ -94,5 +102,6 @@
         val marker: String,
         val answer: Caller.Answer?,
         val failure: String?,
+        val at: LocalTime,
     )
 }
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/EntryDaemon.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/EntryDaemon.kt
@@ -99,7 +99,7 @@
             now = clock::now,
         )
     private val callers = CallerServer(vertx, online, jobs, refusals::record)
-    private val operators = OperatorServer(vertx, registry, ready = { !draining }, status = ::status)
+    private val operators = OperatorServer(vertx, registry, ready = { !stopping }, status = ::status)
 
     @Volatile
     private var slots: SlotKeeper? = null
@@ -107,6 +107,9 @@
     @Volatile
     private var state: EntryState? = null
 
+    @Volatile
+    private var stopping = false
+
     @Volatile
     private var draining = false
 
@@ -140,8 +143,10 @@
         }
     }
 
-    /** Refuses new requests, answers those that are open, then stops. */
+    /** Reports that it stops, serves until the balancer can know, then answers what is open and refuses the rest. */
     public suspend fun drainAndStop() {
+        stopping = true
+        delay(BALANCER_NOTICE)
         draining = true
         member?.let { registration.remove(it) }
         withTimeoutOrNull(RELEASE_BOUND) { slots?.release() }
@@ -224,7 +229,7 @@
     private fun takeMembers(objects: Collection<StoredObject>) {
         val members = objects.mapNotNull { StoredDocuments.decode(Member.serializer(), it.value).get() }
         directory.update(members)
-        refusals.entriesChanged(directory.otherEntries.mapTo(HashSet()) { it.host })
+        refusals.entriesChanged(directory.otherEntries.associate { it.host to it.incarnation })
         follower.replaceMembers(members.mapTo(HashSet()) { RelayMember(it.host, it.failureDomain) })
         updateLinks()
     }
@@ -249,6 +254,7 @@
 
     private companion object {
         val DRAIN_INTERVAL = 50.milliseconds
+        val BALANCER_NOTICE = 3.seconds
         val RELEASE_BOUND = 15.seconds
         val logger = LoggerFactory.getLogger(EntryDaemon::class.java)
     }
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/RefusalRecorder.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/RefusalRecorder.kt
@@ -11,6 +11,7 @@
 import tanagerlane.message.WireMessage
 import tanagerlane.model.FailureDomain
 import tanagerlane.model.HostName
+import tanagerlane.model.Incarnation
 import tanagerlane.model.WorkspaceName
 import tanagerlane.platform.StoredDocuments
 import tanagerlane.refusals.RefusalCopies
@@ -70,11 +71,12 @@
         }
     }
 
-    /** Notes which entries are gone, so that what they left here is stored from here. */
-    fun entriesChanged(present: Set<HostName>) {
+    /** Notes which entries are gone or have started anew, so that what they left here is stored from here. */
+    fun entriesChanged(present: Map<HostName, Incarnation>) {
         synchronized(copyLock) {
-            (known - present).forEach { copies.hostLost(it) }
-            known = present
+            (known - present.keys).forEach { copies.hostLost(it) }
+            present.forEach { (host, incarnation) -> copies.hostLost(host, incarnation) }
+            known = present.keys
         }
     }
 
