--- a/tanagerlane-core/src/test/kotlin/tanagerlane/limits/FleetLimiterTest.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/limits/FleetLimiterTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
 import tanagerlane.message.LimitKey
+import tanagerlane.message.LoanRecall
 import tanagerlane.message.LoanReturn
 import tanagerlane.message.WorkspaceLimit
 import tanagerlane.model.HostName
@@ -140,6 +141,15 @@
             entries.admitted(pool, 13.85.seconds) + entries.admitted(lender, 13.85.seconds) shouldBe 0
         }
 
+        test("requests that a lender has under way count against the burst of the pool") {
+            val entries = Entries(Rate(perSecond = 100.0, burst = 8))
+            entries.runUntil(10.seconds)
+            val underWay = (1..4).map { entries.limiters.getValue(lender).admit(key, start + 10.seconds) }
+            underWay.count { it is Admission.Admitted } shouldBe 4
+            entries.admitted(pool, 10.02.seconds) shouldBe 4
+            entries.admitted(pool, 10.52.seconds) shouldBe 4
+        }
+
         test("the term of a loan runs from its call, however late the answer comes") {
             for ((delay, expected) in listOf(100.milliseconds to 8, 1900.milliseconds to 8, 2100.milliseconds to 4)) {
                 val entries = Entries(Rate(perSecond = 100.0, burst = 8))
@@ -163,7 +173,7 @@
 
         test("tokens that were lent are deposited once although the loan ran out before it was renewed") {
             val entries = Entries(Rate(perSecond = 2.0, burst = 40))
-            entries.admitted(lender, 10.seconds) shouldBe 20
+            entries.admitted(pool, 10.seconds) shouldBe 20
             entries.isCut = true
             entries.runUntil(13.seconds)
             entries.isCut = false
@@ -174,7 +184,7 @@
         test("a pool's host that restarted counts none of the tokens that were lent to it before") {
             val rate = Rate(perSecond = 2.0, burst = 40)
             val entries = Entries(rate)
-            entries.admitted(lender, 10.seconds) shouldBe 20
+            entries.admitted(pool, 10.seconds) shouldBe 20
             val restarted = entries.limiter(pool, rate, Incarnation(2))
             restarted.slots(emptyList(), start + 10.seconds)
             entries.limiters[pool] = restarted
@@ -182,6 +192,24 @@
             entries.admitted(pool, 16.02.seconds) shouldBe 1
         }
 
+        test("an answer to a call from before a loan was given back is not counted") {
+            val entries = Entries(Rate(perSecond = 2.0, burst = 40))
+            entries.admitted(pool, 10.seconds) shouldBe 20
+            entries.isCut = true
+            val call =
+                entries.limiters
+                    .getValue(pool)
+                    .tick(start + 10.55.seconds)
+                    .outgoing
+                    .first()
+            val answer = entries.limiters.getValue(lender).receive(pool, call.message, start + 10.6.seconds)
+            entries.isCut = false
+            entries.send(lender, listOf(Outgoing(pool, LoanRecall(listOf(key)))), 10.65.seconds)
+            entries.send(lender, answer.outgoing, 10.7.seconds)
+            entries.isCut = true
+            listOf(pool, lender).map { entries.admitted(it, 11.7.seconds) } shouldBe listOf(2, 1)
+        }
+
         test("a pool without requests gives its loans back with their tokens") {
             val entries = Entries()
             entries.admitted(lender, 10.seconds) shouldBe 8
