Release a claim that is on its way when a worker stops

Cause: stop() cut the claim loop. A claim whose answer had not come yet was left standing without a holder, lapsed and was charged as a loss. Now the loop ends by itself within the drain time and the claim is released.

--- a/tanagerlane-batch/src/main/kotlin/tanagerlane/jobs/BatchWorker.kt
+++ b/tanagerlane-batch/src/main/kotlin/tanagerlane/jobs/BatchWorker.kt
@@ -52,6 +52,9 @@
     private val keeperScope = CoroutineScope(scope.coroutineContext + keepers)
     private var claiming: Job? = null
 
+    @Volatile
+    private var stopping = false
+
     /** Number of chunks that the worker holds. */
     public val heldChunks: Int get() = held.size
 
@@ -69,16 +72,25 @@
      * releases all claims, as far as the object API answers within [RELEASE_TIME].
      */
     public suspend fun stop(drain: Duration) {
-        claiming?.cancelAndJoin()
+        stopping = true
+        claimWanted.trySend(Unit)
         held.all().forEach { it.drain() }
-        withTimeoutOrNull(drain) { keepers.children.toList().joinAll() }
+        withTimeoutOrNull(drain) { drained() }
+        claiming?.cancelAndJoin()
         held.all().forEach { it.release() }
         withTimeoutOrNull(RELEASE_TIME) { keepers.children.toList().joinAll() }
         workerJob.cancelAndJoin()
     }
 
+    /** Lets a claim that is on its way come to its end, so that it can be released. */
+    private suspend fun drained() {
+        claiming?.join()
+        held.all().forEach { it.drain() }
+        keepers.children.toList().joinAll()
+    }
+
     private suspend fun claimChunks() {
-        while (true) {
+        while (!stopping) {
             val claim = if (wantsChunk()) claimer.claimNext(board.jobs(), target.models()) else null
             if (claim == null) {
                 withTimeoutOrNull(rules.pause) { claimWanted.receive() }
--- a/tanagerlane-batch/src/test/kotlin/tanagerlane/jobs/BatchWorkerTest.kt
+++ b/tanagerlane-batch/src/test/kotlin/tanagerlane/jobs/BatchWorkerTest.kt
@@ -1,12 +1,16 @@
 package tanagerlane.jobs
 
 import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.get
 import com.github.michaelbull.result.map
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeIn
 import io.kotest.matchers.ints.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.runTest
+import tanagerlane.batch.JobKeys
+import tanagerlane.job.ChunkState
 import tanagerlane.model.JobId
 import tanagerlane.model.ModelName
 import tanagerlane.model.WorkspaceName
@@ -53,6 +57,26 @@
             }
         }
 
+        for (seconds in 1..9) {
+            test("a stop after $seconds s releases every claim at once, one on its way too") {
+                runTest {
+                    val bench = JobBench(this, itemTime = 60.seconds, answerDelay = 2.seconds)
+                    bench.submit(List(30) { "item-$it" })
+                    bench.startHost("a")
+                    delay(seconds.seconds)
+                    bench.stop("a")
+                    val states = bench.store.list(JobKeys(JobBench.WORKSPACE, JobBench.JOB).statePrefix)
+                    val decoded = states.map { it.objects.map { state -> state.decoded<ChunkState>() } }
+                    decoded
+                        .get()
+                        ?.map { state -> state.map { it.owner to it.window } }
+                        ?.distinct()
+                        .orEmpty() shouldBeIn
+                        listOf(emptyList(), listOf(Ok(null to emptyList())))
+                }
+            }
+        }
+
         test("a host whose capacity is gone gives its claims to others and counts no attempt") {
             runTest {
                 var stalled = false
--- a/tanagerlane-batch/src/test/kotlin/tanagerlane/jobs/FreezableStore.kt
+++ b/tanagerlane-batch/src/test/kotlin/tanagerlane/jobs/FreezableStore.kt
@@ -1,6 +1,7 @@
 package tanagerlane.jobs
 
 import com.github.michaelbull.result.Result
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.first
 import tanagerlane.model.Payload
@@ -8,10 +9,12 @@
 import tanagerlane.store.ObjectStore
 import tanagerlane.store.ObjectVersion
 import tanagerlane.store.StoreFailure
+import kotlin.time.Duration
 
-/** The object API as a host sees it whose process can be paused before each of its writes. */
+/** The object API as a host sees it whose process can be paused before each of its writes; answers come late. */
 internal class FreezableStore(
     private val store: ObjectStore,
+    private val answerDelay: Duration,
 ) : ObjectStore by store {
     val frozen = MutableStateFlow(false)
 
@@ -25,6 +28,8 @@
         expected: ObjectVersion?,
     ): Result<ObjectVersion, StoreFailure> {
         awaitThaw()
-        return store.put(key, value, expected)
+        val outcome = store.put(key, value, expected)
+        delay(answerDelay)
+        return outcome
     }
 }
--- a/tanagerlane-batch/src/test/kotlin/tanagerlane/jobs/JobBench.kt
+++ b/tanagerlane-batch/src/test/kotlin/tanagerlane/jobs/JobBench.kt
@@ -41,6 +41,7 @@
     private val scope: TestScope,
     private val rules: BatchRules = BatchRules(),
     private val itemTime: Duration = 2.seconds,
+    private val answerDelay: Duration = Duration.ZERO,
     private val capacity: (String) -> Int = { 4 },
 ) {
     val store = MemoryObjectStore()
@@ -58,7 +59,7 @@
         val incarnation = (hosts[name]?.incarnation ?: 0) + 1
         val context = scope.backgroundScope.coroutineContext
         val hostScope = CoroutineScope(context + Job(context.job))
-        val hostStore = FreezableStore(store)
+        val hostStore = FreezableStore(store, answerDelay)
         val worker =
             BatchWorker(
                 scope = hostScope,
