Resolve Main.kt, which was committed with conflict markers

The merge of main before stopped at a conflict in Main.kt and `git add -A` took the markers in, so tanagerlane-cli did not compile from then on. The operators' commands stay as on main and the queueing command joins them in rootCommand.

Ruled out that other files are touched: git grep finds no further markers. QueueingExperimentTest: 4 pass.

--- a/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/Main.kt
+++ b/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/Main.kt
@@ -12,15 +12,7 @@
 import tanagerlane.cli.daemon.StandinCommand
 import tanagerlane.cli.daemon.smallVertx
 import tanagerlane.cli.demo.DemoCommand
-<<<<<<< HEAD
 import tanagerlane.cli.experiment.QueueingCommand
-
-/** Runs the command line. */
-public fun main(arguments: Array<String>) {
-    RootCommand()
-        .subcommands(EntryCommand(), SidecarCommand(), StandinCommand(), DemoCommand(), QueueingCommand())
-        .main(arguments)
-=======
 import tanagerlane.cli.operator.InventoryCommand
 import tanagerlane.cli.operator.KeyCommand
 import tanagerlane.cli.operator.StatusCommand
@@ -38,7 +30,6 @@
         exitProcess(error.statusCode)
     }
     exitProcess(0)
->>>>>>> main
 }
 
 /** The whole command line; [openStore] opens the object API for operators' commands. */
@@ -51,6 +42,7 @@
         SidecarCommand(),
         StandinCommand(),
         DemoCommand(),
+        QueueingCommand(),
     )
 
 /** Shows a wrong use as one line for each fault, and anything else as Clikt does. */
