Let a process that starts in an outage learn the configuration from its callers

Cause: members are registered in the store, so a process that starts while the store is down knows no neighbours, and it passed over announcements of hosts that it did not know. It stayed without a configuration.

A process now takes up to 24 hosts that call it for neighbours until it learns the members. The fake fleet's processes no longer know the members after a restart in an outage: the test "a store outage stops no process, not even a restarted one" failed with that (Unconfigured), 63 passed after the change.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/configuration/Relay.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/configuration/Relay.kt
@@ -26,7 +26,7 @@
         message: ConfigurationAnnounce,
         now: Instant,
     ): Proof? {
-        val neighbour = neighbours[from] ?: return null
+        val neighbour = neighbourOf(from) ?: return null
         val claim = Knowledge.of(message, now)
         neighbour.claims(claim)
         val ask = openAsk?.takeIf { it.host == from && it.nonce == message.nonce }
@@ -39,6 +39,10 @@
         return Proof(Knowledge.of(message, ask.sentAt), ask.sentAt)
     }
 
+    /** A process that doesn't know the members, as after a start in an outage, takes those who call it for neighbours. */
+    private fun neighbourOf(host: HostName): Neighbour? =
+        neighbours[host] ?: Neighbour().takeIf { neighbours.size < MAXIMUM_NEIGHBOURS }?.also { neighbours[host] = it }
+
     /** Returns the announcements and the question that are due. */
     fun sends(
         own: Knowledge,
@@ -142,6 +146,7 @@
     )
 
     private companion object {
+        const val MAXIMUM_NEIGHBOURS = 24
         val BY_CLAIM: Comparator<Map.Entry<HostName, Neighbour>> =
             compareBy({ it.value.claimed.revision.number }, { it.value.claimed.evidence })
     }
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/configuration/FakeFleet.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/configuration/FakeFleet.kt
@@ -114,14 +114,26 @@
 
     private fun start(node: Node) {
         val life = node.life
-        val neighbours = plan.neighboursOf(node.member.host)
-        send(node, node.state.replaceNeighbours(neighbours, now))
+        learnNeighbours(node, life)
         every(random.nextInt(250).milliseconds, 250.milliseconds, node, life) { send(node, node.state.tick(now)) }
         every(random.nextInt(1000).milliseconds, 1.seconds, node, life) {
             if (plan.isWatcher(node.member.host) || node.state.needsStore(now)) probe(node)
         }
     }
 
+    /** Members are registered in the store, so a process that starts in an outage learns them later. */
+    private fun learnNeighbours(
+        node: Node,
+        life: Int,
+    ) {
+        if (node.life != life) return
+        if (life == 0 || reachesStore(node)) {
+            send(node, node.state.replaceNeighbours(plan.neighboursOf(node.member.host), now))
+        } else {
+            after(1.seconds) { learnNeighbours(node, life) }
+        }
+    }
+
     private fun every(
         first: Duration,
         period: Duration,
