Let several hosts share one attempt

A repeat that reaches another entry offers the same attempt from another host. Until now the newer connection took the answer away from the older one, whose host then waited until its deadline, since its own connection was not silent. An attempt now has one listener for each host, its newest connection; a mere set of connections was ruled out, since a connection that is silent but not yet closed would hold up deliveries to the one that replaced it.

OfferSource names the host, questions carry it too, and a delivery has a set of connections; the sidecar's server is changed in these places only.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/attempts/AttemptRecord.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/attempts/AttemptRecord.kt
@@ -19,7 +19,7 @@
     val digest: Payload,
     val deadline: Instant,
     private val incarnation: Incarnation,
-    var listener: SessionId?,
+    source: OfferSource,
 ) {
     var started = false
     var head: AnswerHead? = null
@@ -32,14 +32,22 @@
     var endedAt: Instant? = null
         private set
     var orphanedAt: Instant? = null
+        private set
+    private val listeners = linkedMapOf(source.host to source.session)
     private val fragments = ArrayList<AnswerFragment>()
 
-    /** Makes [session] the listener unless a later connection already listens. */
-    fun attach(session: SessionId) {
-        val current = listener
-        if (current == null || session >= current) {
-            listener = session
-            orphanedAt = null
+    /** Adds [source] to those that hear of the attempt: several hosts may share one, each by its newest connection. */
+    fun attach(source: OfferSource) {
+        listeners.merge(source.host, source.session, ::maxOf)
+        orphanedAt = null
+    }
+
+    fun detach(
+        session: SessionId,
+        now: Instant,
+    ) {
+        if (listeners.values.remove(session) && listeners.isEmpty()) {
+            orphanedAt = now
         }
     }
 
@@ -77,7 +85,8 @@
         }
     }
 
-    fun delivery(message: WireMessage): Delivery? = listener?.let { Delivery(it, listOf(message)) }
+    fun delivery(message: WireMessage): Delivery? =
+        if (listeners.isEmpty()) null else Delivery(listeners.values.toSet(), listOf(message))
 
     fun ended(): AnswerEnd = AnswerEnd(attempt, length)
 
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/attempts/AttemptShard.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/attempts/AttemptShard.kt
@@ -46,7 +46,7 @@
         if (known.digest != OfferDigest.of(offer)) {
             return OfferDecision.Conflict
         }
-        known.attach(source.session)
+        known.attach(source)
         return OfferDecision.Joined(known.messagesFrom(received = 0))
     }
 
@@ -120,7 +120,7 @@
     @Synchronized
     fun resolve(
         resolve: Resolve,
-        session: SessionId,
+        source: OfferSource,
         now: Instant,
     ): List<WireMessage> {
         expireLocked(now)
@@ -128,7 +128,7 @@
         if (record == null) {
             return listOf(notRun.failureOf(resolve.attempt) ?: neverSeen(resolve.attempt, now))
         }
-        record.attach(session)
+        record.attach(source)
         return record.messagesFrom(resolve.received)
     }
 
@@ -150,12 +150,7 @@
     fun detach(
         session: SessionId,
         now: Instant,
-    ) {
-        records.values.filter { it.listener == session }.forEach {
-            it.listener = null
-            it.orphanedAt = now
-        }
-    }
+    ): Unit = records.values.forEach { it.detach(session, now) }
 
     @Synchronized
     fun expire(now: Instant): List<AttemptId> {
@@ -203,7 +198,7 @@
                 digest = OfferDigest.of(offer),
                 deadline = now + offer.remaining,
                 incarnation = incarnation,
-                listener = source.session,
+                source = source,
             )
         return OfferDecision.Run(listOf(Accepted(offer.attempt, incarnation)))
     }
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/attempts/AttemptTable.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/attempts/AttemptTable.kt
@@ -71,12 +71,12 @@
         now: Instant,
     ): Delivery? = shardOf(attempt).fail(attempt, runState, reason, now)
 
-    /** Answers [resolve] on the connection [session]; an attempt that was never seen is never run from then on. */
+    /** Answers [resolve] on the connection of [source]; an attempt that was never seen is never run from then on. */
     public fun resolve(
         resolve: Resolve,
-        session: SessionId,
+        source: OfferSource,
         now: Instant,
-    ): List<WireMessage> = shardOf(resolve.attempt).resolve(resolve, session, now)
+    ): List<WireMessage> = shardOf(resolve.attempt).resolve(resolve, source, now)
 
     /** Stops an attempt whose caller has gone; one that was never seen is never run from then on. */
     public fun cancel(
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/attempts/Delivery.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/attempts/Delivery.kt
@@ -2,8 +2,8 @@
 
 import tanagerlane.message.WireMessage
 
-/** Messages to send on the connection [session], in order. */
+/** Messages to send on each of the connections [sessions], in order. */
 public data class Delivery(
-    val session: SessionId,
+    val sessions: Set<SessionId>,
     val messages: List<WireMessage>,
 )
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/attempts/AttemptTableTest.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/attempts/AttemptTableTest.kt
@@ -14,6 +14,7 @@
 import tanagerlane.message.Offer
 import tanagerlane.message.Resolve
 import tanagerlane.model.AttemptId
+import tanagerlane.model.HostName
 import tanagerlane.model.Incarnation
 import tanagerlane.model.ModelName
 import tanagerlane.model.Payload
@@ -48,17 +49,21 @@
             }
         }
 
-        test("a resolved attempt goes on from what was received, on the newer connection") {
+        test("a resolved attempt goes on from what was received, on the newest connection of each host") {
             val table = AttemptTable(INCARNATION)
             table.offer(OFFER, SOURCE, NOW)
             table.start(ATTEMPT, NOW) shouldBe StartDecision.Call
-            table.head(HEAD, NOW) shouldBe Delivery(SOURCE.session, listOf(HEAD))
+            table.head(HEAD, NOW) shouldBe Delivery(setOf(SOURCE.session), listOf(HEAD))
             table.append(ATTEMPT, Payload.of("abc"), NOW)
             table.append(ATTEMPT, Payload.of("def"), NOW)
             val rest = AnswerFragment(ATTEMPT, 3, Payload.of("def"))
             table.resolve(Resolve(ATTEMPT, received = 3), NEWER, NOW) shouldBe listOf(ACCEPTED, HEAD, rest)
             table.offer(OFFER, SOURCE, NOW)
-            table.end(ATTEMPT, NOW) shouldBe Delivery(NEWER, listOf(AnswerEnd(ATTEMPT, 6)))
+            table.append(ATTEMPT, Payload.of("ghi"), NOW)?.sessions shouldBe setOf(NEWER.session)
+            table.resolve(Resolve(ATTEMPT, received = 9), OTHER_HOST, NOW) shouldBe listOf(ACCEPTED, HEAD)
+            table.append(ATTEMPT, Payload.of("jkl"), NOW)?.sessions shouldBe setOf(NEWER.session, OTHER_HOST.session)
+            table.detach(NEWER.session, NOW)
+            table.end(ATTEMPT, NOW) shouldBe Delivery(setOf(OTHER_HOST.session), listOf(AnswerEnd(ATTEMPT, 12)))
         }
 
         test("a target is called once at most, and not after cancellation or the deadline") {
@@ -66,7 +71,7 @@
             table.offer(OFFER, SOURCE, NOW)
             val lapsed = AttemptFailed(ATTEMPT, RunState.NOT_RUN, RefusalReason.DEADLINE_EXCEEDED)
             table.start(ATTEMPT, NOW + 10.seconds) shouldBe
-                StartDecision.Skip(Delivery(SOURCE.session, listOf(lapsed)))
+                StartDecision.Skip(Delivery(setOf(SOURCE.session), listOf(lapsed)))
             table.start(ATTEMPT, NOW) shouldBe StartDecision.Skip(null)
             val other = ATTEMPT.copy(number = 2)
             table.offer(OFFER.copy(attempt = other), SOURCE, NOW)
@@ -159,8 +164,9 @@
 private val NOW = Instant.fromEpochSeconds(1_000_000)
 private val INCARNATION = Incarnation(5)
 private val ATTEMPT = AttemptId(RequestId("request"), 1)
-private val SOURCE = OfferSource(SessionId(1), freshAt = NOW)
-private val NEWER = SessionId(2)
+private val SOURCE = OfferSource(HostName("entry-0"), SessionId(1), freshAt = NOW)
+private val NEWER = SOURCE.copy(session = SessionId(2))
+private val OTHER_HOST = OfferSource(HostName("entry-1"), SessionId(3), freshAt = NOW)
 private val ACCEPTED = Accepted(ATTEMPT, INCARNATION)
 private val HEAD = AnswerHead(ATTEMPT, 200, emptyList())
 private val WORK = ChatWork(ModelName("model"), Payload.of("{}"), streamed = false, maximumTokens = 8)
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/attempts/FakeSidecar.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/attempts/FakeSidecar.kt
@@ -6,6 +6,7 @@
 import tanagerlane.message.Resolve
 import tanagerlane.message.WireMessage
 import tanagerlane.model.AttemptId
+import tanagerlane.model.HostName
 import tanagerlane.model.Incarnation
 import tanagerlane.model.Payload
 import tanagerlane.model.RequestId
@@ -56,7 +57,7 @@
     ) = whenAwake(connection.incarnation) {
         when (message) {
             is Offer -> offered(message, connection)
-            is Resolve -> connection.toEntry(table.resolve(message, connection.session, clock.now))
+            is Resolve -> connection.toEntry(table.resolve(message, sourceOf(connection), clock.now))
             is Cancel -> table.cancel(message, clock.now)
             else -> error("unexpected $message")
         }
@@ -66,13 +67,16 @@
         offer: Offer,
         connection: FakeConnection,
     ) {
-        val decision = table.offer(offer, OfferSource(connection.session, connection.openedAt), clock.now)
+        val decision = table.offer(offer, sourceOf(connection), clock.now)
         connection.toEntry(decision.replies)
         if (decision is OfferDecision.Run) {
             later(QUEUE_TIME) { start(offer.attempt) }
         }
     }
 
+    private fun sourceOf(connection: FakeConnection) =
+        OfferSource(HostName("entry"), connection.session, connection.openedAt)
+
     private fun start(attempt: AttemptId) {
         if (table.start(attempt, clock.now) !is StartDecision.Call) {
             return
@@ -86,7 +90,7 @@
     }
 
     private fun send(delivery: Delivery?) {
-        delivery?.let { connections[it.session]?.toEntry(it.messages) }
+        delivery?.sessions?.forEach { connections[it]?.toEntry(delivery.messages) }
     }
 
     private fun later(
--- a/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/AttemptServer.kt
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/AttemptServer.kt
@@ -81,7 +81,7 @@
     ) {
         when (message) {
             is Offer -> offer(connection, message)
-            is Resolve -> table.resolve(message, connection.session, now()).forEach { connection.send(it) }
+            is Resolve -> table.resolve(message, sourceOf(connection), now()).forEach { connection.send(it) }
             is Cancel -> cancel(message)
             else -> handleOther(connection, message)
         }
@@ -96,14 +96,16 @@
             connection.send(NotRun(offer.attempt, RefusalReason.OVERLOADED))
             return
         }
-        val source = OfferSource(session = connection.session, freshAt = connection.freshAt)
-        val decision = table.offer(offer, source, now())
+        val decision = table.offer(offer, sourceOf(connection), now())
         decision.replies.forEach { connection.send(it) }
         if (decision is OfferDecision.Run) {
             start(offer)
         }
     }
 
+    private fun sourceOf(connection: WireConnection) =
+        OfferSource(host = connection.peer.host, session = connection.session, freshAt = connection.freshAt)
+
     private fun start(offer: Offer) {
         val job =
             scope.launch {
@@ -147,8 +149,9 @@
         }
 
     private suspend fun deliver(delivery: Delivery?) {
-        val connection = connections[delivery?.session ?: return] ?: return
-        delivery.messages.forEach { connection.send(it) }
+        delivery?.sessions?.mapNotNull { connections[it] }?.forEach { connection ->
+            delivery.messages.forEach { connection.send(it) }
+        }
     }
 
     private companion object {
