Stop gracefully, and mend four faults of the sessions found by reading

Cause: a sender suspended on a full connection was never woken when the connection ended; a slow consumer looked like a silent peer; an offer whose charge had lapsed was answered without leaving a tombstone; a run that ended without a last word kept its record. Also an entry refused requests at once when it was told to stop, and a sidecar closed before its last frames were sent. Now an entry serves for five more seconds while /health says 503, and a sidecar lingers for a second.

--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/CallerServer.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/CallerServer.kt
@@ -24,12 +24,14 @@
  * HTTP server for callers.
  *
  * @param record keeps each refusal before its caller hears it
+ * @param draining whether callers should leave their connections after the next answer
  */
 internal class CallerServer(
     private val vertx: Vertx,
     private val online: OnlineRoutes,
     private val jobs: JobRoutes,
     private val record: suspend (WorkspaceName?, CallerRefusal) -> Unit,
+    private val draining: () -> Boolean,
 ) {
     private val scope = CoroutineScope(SupervisorJob())
     private val open = AtomicInteger()
@@ -94,8 +96,11 @@
         context: RoutingContext,
         handle: suspend (CallerExchange) -> Unit,
     ) {
+        open.incrementAndGet()
         scope.launch(vertx.orCreateContext.dispatcher()) {
-            open.incrementAndGet()
+            if (draining()) {
+                context.response().putHeader("connection", "close")
+            }
             try {
                 handle(CallerExchange(context, record))
             } catch (exception: IOException) {
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/EntryDaemon.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/EntryDaemon.kt
@@ -50,6 +50,7 @@
 import tanagerlane.wire.WireFault
 import java.util.UUID
 import kotlin.time.Clock
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -84,7 +85,7 @@
     private val rates = RateControl(limiter, ::send, clock::now)
     private val charging = Charging(rates, links::nonces)
     private val runner = RequestRunner(links, active, picker, charging, AttemptPolicy(), clock::now)
-    private val gate = Gate({ state?.takeIf { follower.serves } }, { draining })
+    private val gate = Gate({ state?.takeIf { follower.serves } }, { refusing })
     private val online = OnlineRoutes(gate, charging, runner, tracer, clock::now)
     private val jobs = JobRoutes(gate, JobStore(store, newUpload = { UUID.randomUUID().toString() }), Clock.System::now)
     private val refusals =
@@ -98,7 +99,7 @@
             send = peers::send,
             now = clock::now,
         )
-    private val callers = CallerServer(vertx, online, jobs, refusals::record)
+    private val callers = CallerServer(vertx, online, jobs, refusals::record, { draining })
     private val operators = OperatorServer(vertx, registry, ready = { !draining }, status = ::status)
 
     @Volatile
@@ -110,6 +111,9 @@
     @Volatile
     private var draining = false
 
+    @Volatile
+    private var refusing = false
+
     @Volatile
     private var member: Member? = null
 
@@ -140,14 +144,21 @@
         }
     }
 
-    /** Refuses new requests, answers those that are open, then stops. */
+    /**
+     * Stops without cutting a request.
+     *
+     * `/health` tells at once that callers should go elsewhere; for [NOTICE] more they are still served, then refused.
+     */
     public suspend fun drainAndStop() {
         draining = true
+        logger.info("draining")
         member?.let { registration.remove(it) }
-        withTimeoutOrNull(RELEASE_BOUND) { slots?.release() }
+        delay(NOTICE)
+        refusing = true
         while (callers.openRequests > 0) {
             delay(DRAIN_INTERVAL)
         }
+        withTimeoutOrNull(RELEASE_BOUND) { slots?.release() }
         withTimeoutOrNull(RELEASE_BOUND) { refusals.finish() }
         stop()
     }
@@ -246,9 +257,12 @@
     private fun status(): String =
         """{"role":"entry","host":"${settings.host.name}","revision":${state?.configuration?.revision ?: 0}}"""
 
-    private companion object {
-        val DRAIN_INTERVAL = 50.milliseconds
-        val RELEASE_BOUND = 15.seconds
-        val logger = LoggerFactory.getLogger(EntryDaemon::class.java)
+    public companion object {
+        /** Time for which callers are still served after a stop was asked for. */
+        public val NOTICE: Duration = 5.seconds
+
+        private val DRAIN_INTERVAL = 50.milliseconds
+        private val RELEASE_BOUND = 15.seconds
+        private val logger = LoggerFactory.getLogger(EntryDaemon::class.java)
     }
 }
--- a/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/AttemptServer.kt
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/AttemptServer.kt
@@ -3,8 +3,10 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
 import tanagerlane.attempts.AttemptTable
 import tanagerlane.attempts.CancelDecision
 import tanagerlane.attempts.Delivery
@@ -15,13 +17,13 @@
 import tanagerlane.limits.ArrivalGuard
 import tanagerlane.message.AnswerHead
 import tanagerlane.message.Cancel
-import tanagerlane.message.NotRun
 import tanagerlane.message.Offer
 import tanagerlane.message.Resolve
 import tanagerlane.message.WireMessage
 import tanagerlane.model.AttemptId
 import tanagerlane.model.HostName
 import tanagerlane.model.RefusalReason
+import tanagerlane.model.RunState
 import tanagerlane.wire.WireConnection
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration.Companion.seconds
@@ -92,9 +94,9 @@
         connection: WireConnection,
         offer: Offer,
     ) {
-        val admission = offer.admission
-        if (admission != null && !guard.isTimely(admission, now())) {
-            connection.send(NotRun(offer.attempt, RefusalReason.OVERLOADED))
+        if (!isTimely(offer)) {
+            val question = Resolve(offer.attempt, received = 0)
+            table.resolve(question, sourceOf(connection), now()).forEach { connection.send(it) }
             return
         }
         val decision = table.offer(offer, sourceOf(connection), now())
@@ -107,13 +109,19 @@
     private fun sourceOf(connection: WireConnection) =
         OfferSource(host = connection.peer.host, session = connection.session, freshAt = connection.freshAt)
 
+    /** Whether the request's charge holds; one that comes too late is never run, as if it had only been asked for. */
+    private fun isTimely(offer: Offer): Boolean {
+        val admission = offer.admission ?: return true
+        return guard.isTimely(admission, now())
+    }
+
     private fun start(offer: Offer) {
         val job =
             scope.launch {
                 try {
                     run(offer, sinkOf(offer.attempt))
                 } finally {
-                    runs.remove(offer.attempt)
+                    conclude(offer.attempt)
                 }
             }
         runs[offer.attempt] = job
@@ -122,6 +130,14 @@
         }
     }
 
+    /** Ends an attempt whose run gave no last word; does nothing for any other. */
+    private suspend fun conclude(attempt: AttemptId) {
+        withContext(NonCancellable) {
+            deliver(table.fail(attempt, RunState.UNKNOWN, RefusalReason.OUTCOME_UNKNOWN, now()))
+        }
+        runs.remove(attempt)
+    }
+
     private fun cancel(cancel: Cancel) {
         if (table.cancel(cancel, now()) != CancelDecision.NOTHING) {
             runs.remove(cancel.attempt)?.cancel(CancellationException("cancelled by the caller"))
--- a/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/SidecarDaemon.kt
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/SidecarDaemon.kt
@@ -135,6 +135,7 @@
         while (attempts.running > 0) {
             delay(DRAIN_INTERVAL)
         }
+        delay(LINGER)
         stop()
     }
 
@@ -218,6 +219,9 @@
     private companion object {
         val BATCH_DRAIN = 5.seconds
         val REPORT_INTERVAL = 500.milliseconds
+
+        /** Time in which the last answers reach those who asked. */
+        val LINGER = 1.seconds
         val DRAIN_INTERVAL = 50.milliseconds
         val logger = LoggerFactory.getLogger(SidecarDaemon::class.java)
     }
--- a/tanagerlane-wire/src/main/kotlin/tanagerlane/wire/WireConnection.kt
+++ b/tanagerlane-wire/src/main/kotlin/tanagerlane/wire/WireConnection.kt
@@ -2,13 +2,16 @@
 
 import com.github.michaelbull.result.onErr
 import com.github.michaelbull.result.onOk
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.channels.ClosedSendChannelException
 import kotlinx.coroutines.channels.ReceiveChannel
+import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import tanagerlane.attempts.Liveness
@@ -49,6 +52,10 @@
 
     private val detector = SilenceDetector(openedAt, limits.liveness)
 
+    /** Whether a message waits for this process to take it, which is no silence of the other side. */
+    @Volatile
+    private var isDelivering = false
+
     /** Why the connection ended, or null while it is open. */
     @Volatile
     public var fault: WireFault? = null
@@ -77,6 +84,9 @@
             true
         } catch (_: ClosedSendChannelException) {
             false
+        } catch (_: CancellationException) {
+            currentCoroutineContext().ensureActive()
+            false
         }
 
     /** Sends [message] without waiting; returns false when it can't be queued. */
@@ -94,7 +104,7 @@
             }
             fault = reason
         }
-        outgoing.close()
+        outgoing.cancel()
         received.close()
         frames.close()
         scope.cancel()
@@ -139,16 +149,22 @@
     }
 
     private suspend fun deliver(message: WireMessage) {
+        isDelivering = true
         try {
             received.send(message)
         } catch (_: ClosedSendChannelException) {
             close(WireFault.Closed)
+        } finally {
+            isDelivering = false
         }
     }
 
     private suspend fun watchLoop() {
         while (isOpen) {
             val decidedAt = now()
+            if (isDelivering) {
+                synchronized(detector) { detector.received(decidedAt) }
+            }
             when (val decision = synchronized(detector) { detector.decide(decidedAt) }) {
                 is Liveness.Replace -> close(WireFault.Silent)
                 is Liveness.SendPing -> ping(decision.nonce, decision.until - decidedAt)
