--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/EntryDaemon.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/EntryDaemon.kt
@@ -150,8 +150,6 @@
      * `/health` tells at once that callers should go elsewhere; for [NOTICE] more they are still served, then refused.
      */
     public suspend fun drainAndStop() {
-        stopping = true
-        delay(BALANCER_NOTICE)
         draining = true
         logger.info("draining")
         member?.let { registration.remove(it) }
