--- a/tanagerlane-core/src/test/kotlin/tanagerlane/embedding/EmbeddingExampleTest.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/embedding/EmbeddingExampleTest.kt
@@ -37,7 +37,10 @@
     FunSpec({
         test("a limiter that holds all slots admits the burst, refuses, and admits again at the rate") {
             val limiter = loneLimiter()
-            val permits = List(4) { limiter.admit(PRESS, NOW) }.map { it.shouldBeInstanceOf<Admission.Admitted>().permit }
+            val permits =
+                List(
+                    4,
+                ) { limiter.admit(PRESS, NOW) }.map { it.shouldBeInstanceOf<Admission.Admitted>().permit }
             limiter.admit(PRESS, NOW).shouldBeInstanceOf<Admission.Refused>()
             permits.forEach { limiter.settle(it, NOW + 10.milliseconds) }
             limiter.admit(PRESS, NOW + 1.seconds).shouldBeInstanceOf<Admission.Admitted>()
@@ -52,7 +55,14 @@
             val first = AttemptId(REQUEST, 1)
             val fragment = AnswerFragment(first, offset = 0, bytes = Payload.of("done"))
             val messages = listOf(Accepted(first, BEFORE), AnswerHead(first, 200, emptyList()), fragment, fragment)
-            val actions = (messages + AnswerEnd(first, length = 4)).flatMap { tracker.handle(AttemptEvent.Received(it), NOW) }
+            val actions =
+                (
+                    messages +
+                        AnswerEnd(
+                            first,
+                            length = 4,
+                        )
+                ).flatMap { tracker.handle(AttemptEvent.Received(it), NOW) }
             actions.filterNot { it is AttemptAction.SetTimer } shouldBe
                 listOf(
                     AttemptAction.DeliverHead(200, emptyList()),
