Carry out operators' orders to targets under a lease and a fencing number

Cause: an order for a target that ignores fencing numbers must not be sent by two processes at once, and two operators racing must end in one order.

The order is one object for each target. One claim by conditional update gives one call; the object's version at the claim is the fencing number.

Remains: a process frozen between its check and its write, or bytes held up on the way for the rest of the term, can still reach a target that ignores the number.

--- a/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/Main.kt
+++ b/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/Main.kt
@@ -15,6 +15,7 @@
 import tanagerlane.cli.experiment.QueueingCommand
 import tanagerlane.cli.operator.InventoryCommand
 import tanagerlane.cli.operator.KeyCommand
+import tanagerlane.cli.operator.OrderCommand
 import tanagerlane.cli.operator.StatusCommand
 import tanagerlane.cli.operator.StoreFactory
 import tanagerlane.platform.HttpObjectStore
@@ -37,6 +38,7 @@
     RootCommand().subcommands(
         InventoryCommand(openStore),
         KeyCommand(openStore),
+        OrderCommand(openStore),
         StatusCommand(openStore),
         EntryCommand(),
         SidecarCommand(),
--- a/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/operator/FailureExplanation.kt
+++ b/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/operator/FailureExplanation.kt
@@ -49,7 +49,7 @@
         }
     }
 
-private fun reasonOf(failure: StoreFailure): String =
+internal fun reasonOf(failure: StoreFailure): String =
     when (failure) {
         is StoreFailure.NotFound -> "${failure.key} does not exist"
         is StoreFailure.Conflict -> "${failure.key} was changed by others at the same time"
--- a/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/operator/OperatorCommand.kt
+++ b/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/operator/OperatorCommand.kt
@@ -53,6 +53,7 @@
 /** Returns [size] bytes from a cryptographic generator. */
 internal fun randomBytes(size: Int): ByteArray = ByteArray(size).also { SecureRandom().nextBytes(it) }
 
-private fun newIdentity(): String = HexFormat.of().formatHex(randomBytes(IDENTITY_BYTES))
+/** Draws the identity of one change. */
+internal fun newIdentity(): String = HexFormat.of().formatHex(randomBytes(IDENTITY_BYTES))
 
 private const val IDENTITY_BYTES = 8
--- a/tanagerlane-cli/src/test/kotlin/tanagerlane/cli/operator/OperatorCommandsTest.kt
+++ b/tanagerlane-cli/src/test/kotlin/tanagerlane/cli/operator/OperatorCommandsTest.kt
@@ -78,6 +78,24 @@
                 "1 tanagerlane: nothing was changed: the object API can't be reached (object API is down)\n"
         }
 
+        test("an order is stored for a known target, shown, and refused on a base that is not the latest") {
+            val desk = Desk()
+            desk.run("inventory apply $EXAMPLE")
+            desk.run("order show finding-models-1").failure() shouldBe
+                "1 tanagerlane: there is no order for finding-models-1\n"
+            desk.run("order apply finding-models-1 --adapter frost --role decode").output shouldBe "revision: 1\n"
+            desk.run("order apply finding-models-1 --adapter thaw --base 0").failure() shouldBe
+                "1 tanagerlane: another operator's order of revision 1 came after 0; run order show\n"
+            desk.run("order show finding-models-1").output shouldBe
+                "revision: 1\nadapter: frost\nrole: decode\nphase: wanted\n"
+            desk.run("order apply finding-models-1").failure() shouldBe "1 tanagerlane: the order asks for nothing\n"
+            desk.run("order apply nowhere --model finding").failure() shouldBe
+                "1 tanagerlane: no target is named nowhere\n"
+            desk.store.faults = StoreFaults(down = true)
+            desk.run("order show finding-models-1").failure() shouldBe
+                "1 tanagerlane: the object API can't be reached (object API is down)\n"
+        }
+
         for (command in listOf(
             "",
             "inventory",
@@ -85,6 +103,7 @@
             "inventory diff",
             "key issue",
             "key withdraw",
+            "order apply",
             "status",
         )) {
             test("help is shown for \"$command\"") {
--- a/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/SidecarDaemon.kt
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/SidecarDaemon.kt
@@ -29,6 +29,7 @@
 import tanagerlane.message.WireMessage
 import tanagerlane.model.HostName
 import tanagerlane.model.Incarnation
+import tanagerlane.orders.OrderHolder
 import tanagerlane.platform.MemberRegistration
 import tanagerlane.platform.MonotonicClock
 import tanagerlane.platform.OperatorServer
@@ -37,6 +38,8 @@
 import tanagerlane.platform.configuration.ConfigurationFollower
 import tanagerlane.settings.SidecarSettings
 import tanagerlane.sidecar.engine.TargetScheduler
+import tanagerlane.sidecar.orders.OrderClient
+import tanagerlane.sidecar.orders.OrderKeeper
 import tanagerlane.store.ObjectStore
 import tanagerlane.store.StoredObject
 import tanagerlane.wire.MemberDirectory
@@ -97,6 +100,15 @@
             weightOf = { view?.weightOf(it) ?: 1 },
             now = clock::now,
         )
+    private val orders =
+        OrderKeeper(
+            target = settings.target,
+            holder = OrderHolder(settings.host.name, incarnation),
+            store = store,
+            send = OrderClient(vertx, settings.targetUrl)::send,
+            checksFencing = { view?.checksFencing ?: false },
+            now = clock::now,
+        )
     private val operators = OperatorServer(vertx, registry, ready = { !draining }, status = ::status)
 
     @Volatile
@@ -117,6 +129,7 @@
             scope.launch { scheduler.tickLoop() }
             scope.launch { reportLoop() }
             scope.launch { follower.run() }
+            scope.launch { orders.run() }
             scope.launch { PrefixWatcher(store, MemberRegistration.PREFIX).follow { takeMembers(it.values) } }
             batch.start()
             register(bound)
--- a/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/TargetView.kt
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/TargetView.kt
@@ -19,6 +19,9 @@
     /** Whether the target is unknown or operators are taking it out of service. */
     val isLeaving: Boolean = target?.leaving ?: true
 
+    /** Whether the target is known to refuse orders with an old fencing number. */
+    val checksFencing: Boolean = target?.checksFencing ?: false
+
     /** Models that the target serves. */
     val models: Set<ModelName> = target?.models.orEmpty().toSet()
 
--- /dev/null
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/orders/OrderClient.kt
@@ -0,0 +1,93 @@
+package tanagerlane.sidecar.orders
+
+import io.vertx.core.Future
+import io.vertx.core.Vertx
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpClientOptions
+import io.vertx.core.http.HttpClientRequest
+import io.vertx.core.http.HttpMethod
+import io.vertx.core.http.RequestOptions
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.withTimeoutOrNull
+import tanagerlane.orders.FencedOrder
+import tanagerlane.orders.OrderOutcome
+import tanagerlane.orders.OrderRefusal
+import tanagerlane.platform.StoredDocuments
+import java.util.concurrent.atomic.AtomicReference
+import kotlin.time.Duration
+
+/**
+ * Sends orders to the target over HTTP.
+ *
+ * @param targetUrl base URL of the target
+ */
+internal class OrderClient(
+    private val vertx: Vertx,
+    private val targetUrl: String,
+) {
+    /** Sends [order] as [OrderCall] says. */
+    suspend fun send(
+        order: FencedOrder,
+        timeout: Duration,
+        mayWrite: () -> Boolean,
+    ): OrderOutcome {
+        val progress = AtomicReference(Progress.CONNECTING)
+        val client = vertx.createHttpClient(HttpClientOptions().setKeepAlive(false))
+        val body = Buffer.buffer(StoredDocuments.encode(FencedOrder.serializer(), order).toByteArray())
+        val options = RequestOptions().setMethod(HttpMethod.POST).setAbsoluteURI("$targetUrl/v1/orders")
+        try {
+            val answer = client.request(options).compose { write(it, body, mayWrite, progress) }
+            return withTimeoutOrNull(timeout) { answer.coAwait() } ?: unanswered(progress)
+        } catch (exception: CancellationException) {
+            throw exception
+        } catch (_: Exception) {
+            return unanswered(progress)
+        } finally {
+            close(progress)
+            client.close()
+        }
+    }
+
+    /** Runs on the connection's event loop, so that nothing is queued between the check and the write. */
+    private fun write(
+        request: HttpClientRequest,
+        body: Buffer,
+        mayWrite: () -> Boolean,
+        progress: AtomicReference<Progress>,
+    ): Future<OrderOutcome> {
+        if (!mayWrite() || !progress.compareAndSet(Progress.CONNECTING, Progress.WRITTEN)) {
+            request.reset()
+            return Future.succeededFuture(OrderOutcome.NotSent)
+        }
+        request.putHeader("content-type", "application/json")
+        return request.send(body).compose { response ->
+            response.body().map { outcomeOf(response.statusCode(), it.toString()) }
+        }
+    }
+
+    private fun outcomeOf(
+        status: Int,
+        answer: String,
+    ): OrderOutcome =
+        when (status) {
+            in SUCCESS -> OrderOutcome.Taken
+            in CALLERS_FAULT -> OrderOutcome.Refused(OrderRefusal(status, answer.take(MAXIMUM_ANSWER)))
+            else -> OrderOutcome.Unknown
+        }
+
+    private fun unanswered(progress: AtomicReference<Progress>): OrderOutcome =
+        if (close(progress)) OrderOutcome.NotSent else OrderOutcome.Unknown
+
+    /** Keeps a connection that comes too late from being written to; returns whether none was written to. */
+    private fun close(progress: AtomicReference<Progress>): Boolean =
+        progress.compareAndSet(Progress.CONNECTING, Progress.CLOSED)
+
+    private enum class Progress { CONNECTING, WRITTEN, CLOSED }
+
+    private companion object {
+        const val MAXIMUM_ANSWER = 200
+        val SUCCESS = 200..299
+        val CALLERS_FAULT = 400..499
+    }
+}
--- /dev/null
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/orders/OrderKeeper.kt
@@ -0,0 +1,138 @@
+package tanagerlane.sidecar.orders
+
+import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.mapBoth
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.slf4j.LoggerFactory
+import tanagerlane.model.TargetName
+import tanagerlane.orders.HeldOrder
+import tanagerlane.orders.OrderClaims
+import tanagerlane.orders.OrderHolder
+import tanagerlane.orders.OrderObservation
+import tanagerlane.orders.OrderStep
+import tanagerlane.orders.OrderTimes
+import tanagerlane.orders.StoredOrder
+import tanagerlane.platform.PrefixWatcher
+import tanagerlane.platform.StoredDocuments
+import tanagerlane.platform.orders.OrderStore
+import tanagerlane.store.ObjectStore
+import tanagerlane.store.ObjectVersion
+import tanagerlane.store.StoreFailure
+import tanagerlane.store.StoredObject
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/**
+ * Carries out the orders for one target, one call at a time: a claim for each call, then its outcome.
+ *
+ * @param checksFencing whether the target is known to refuse old fencing numbers
+ */
+internal class OrderKeeper(
+    private val target: TargetName,
+    holder: OrderHolder,
+    private val store: ObjectStore,
+    private val send: OrderCall,
+    private val checksFencing: () -> Boolean,
+    private val now: () -> Instant,
+    private val times: OrderTimes = OrderTimes(),
+) {
+    private val orders = OrderStore(store)
+    private val claims = OrderClaims(holder, times)
+    private val key = OrderStore.keyOf(target)
+    private val latest = MutableStateFlow<StoredObject?>(null)
+    private var observation = OrderObservation(ObjectVersion.NONE, now())
+    private var written = ObjectVersion.NONE
+
+    /** Follows the target's order and carries it out; returns only by cancellation. */
+    suspend fun run(): Unit =
+        coroutineScope {
+            launch { PrefixWatcher(store, key.path).follow { latest.value = it[key] } }
+            while (true) {
+                val seen = latest.value
+                val pause = if (seen == null) Duration.INFINITE else carryOut(seen)
+                withTimeoutOrNull(pause) { latest.first { it?.version != seen?.version } }
+            }
+        }
+
+    /** Takes the next step and returns the time after which to look again at the same version. */
+    private suspend fun carryOut(seen: StoredObject): Duration {
+        observation = observation.seen(seen.version, now())
+        val order = StoredDocuments.decode(StoredOrder.serializer(), seen.value).getOrElse { return unreadable(seen) }
+        if (seen.version < written) {
+            return RETRY_INTERVAL
+        }
+        return when (val step = claims.next(order, observation, checksFencing(), now())) {
+            OrderStep.Idle -> {
+                Duration.INFINITE
+            }
+
+            is OrderStep.Wait -> {
+                step.remaining
+            }
+
+            is OrderStep.Claim -> {
+                claim(step.order, seen.version)?.let { sendHeld(it) }
+                RETRY_INTERVAL
+            }
+        }
+    }
+
+    private suspend fun claim(
+        order: StoredOrder,
+        expected: ObjectVersion,
+    ): HeldOrder? {
+        val from = now()
+        val version = write(order, expected) { return null }
+        return claims.held(order, version, from)
+    }
+
+    private suspend fun sendHeld(held: HeldOrder) {
+        val outcome = send(held.fenced, times.callTimeout) { held.maySend(now()) }
+        logger.info("order {} for {} under fencing number {}: {}", held.order.revision, target, held.version, outcome)
+        held.after(outcome)?.let { record(it, held.version) }
+        delay(held.pauseAfter(outcome, checksFencing(), now()))
+    }
+
+    /** Stores an outcome, trying until it is stored or the order has changed. */
+    private suspend fun record(
+        order: StoredOrder,
+        expected: ObjectVersion,
+    ) {
+        while (true) {
+            write(order, expected) { failure ->
+                if (failure is StoreFailure.Conflict) {
+                    return
+                }
+                delay(RETRY_INTERVAL)
+                continue
+            }
+            return
+        }
+    }
+
+    private suspend inline fun write(
+        order: StoredOrder,
+        expected: ObjectVersion,
+        onFailure: (StoreFailure) -> Nothing,
+    ): ObjectVersion {
+        val version = orders.write(order, expected).mapBoth({ it }, { onFailure(it) })
+        written = version
+        return version
+    }
+
+    private fun unreadable(seen: StoredObject): Duration {
+        logger.warn("the order of version {} for {} can't be read", seen.version, target)
+        return Duration.INFINITE
+    }
+
+    private companion object {
+        val RETRY_INTERVAL = 1.seconds
+        val logger = LoggerFactory.getLogger(OrderKeeper::class.java)
+    }
+}
