Add operators' commands for jobs, refusals and the experiment on limits

Operators had to call an entry and read the object API by hand to follow a batch job or to count refusals. `job submit|status|results|cancel` calls an entry with a caller's key, streams the items and follows all pages; `refusals` counts the stored refusals by workspace, reason and run state; `limits` prints the experiment that only a test ran so far.

--- a/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/Main.kt
+++ b/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/Main.kt
@@ -7,14 +7,17 @@
 import com.github.ajalt.clikt.core.UsageError
 import com.github.ajalt.clikt.core.parse
 import com.github.ajalt.clikt.core.subcommands
+import tanagerlane.cli.caller.JobCommand
 import tanagerlane.cli.daemon.EntryCommand
 import tanagerlane.cli.daemon.SidecarCommand
 import tanagerlane.cli.daemon.StandinCommand
 import tanagerlane.cli.daemon.smallVertx
 import tanagerlane.cli.demo.DemoCommand
+import tanagerlane.cli.experiment.LimitsCommand
 import tanagerlane.cli.experiment.QueueingCommand
 import tanagerlane.cli.operator.InventoryCommand
 import tanagerlane.cli.operator.KeyCommand
+import tanagerlane.cli.operator.RefusalsCommand
 import tanagerlane.cli.operator.StatusCommand
 import tanagerlane.cli.operator.StoreFactory
 import tanagerlane.platform.HttpObjectStore
@@ -38,11 +41,14 @@
         InventoryCommand(openStore),
         KeyCommand(openStore),
         StatusCommand(openStore),
+        RefusalsCommand(openStore),
+        JobCommand(),
         EntryCommand(),
         SidecarCommand(),
         StandinCommand(),
         DemoCommand(),
         QueueingCommand(),
+        LimitsCommand(),
     )
 
 /** Shows a wrong use as one line for each fault, and anything else as Clikt does. */
--- a/tanagerlane-cli/src/test/kotlin/tanagerlane/cli/operator/OperatorCommandsTest.kt
+++ b/tanagerlane-cli/src/test/kotlin/tanagerlane/cli/operator/OperatorCommandsTest.kt
@@ -86,6 +86,9 @@
             "key issue",
             "key withdraw",
             "status",
+            "refusals",
+            "job submit",
+            "limits",
         )) {
             test("help is shown for \"$command\"") {
                 val result = Desk().run("$command --help")
