--- a/tanagerlane-cli/src/test/kotlin/tanagerlane/cli/operator/OperatorCommandsTest.kt
+++ b/tanagerlane-cli/src/test/kotlin/tanagerlane/cli/operator/OperatorCommandsTest.kt
@@ -105,6 +105,9 @@
             "key withdraw",
             "order apply",
             "status",
+            "refusals",
+            "job submit",
+            "limits",
         )) {
             test("help is shown for \"$command\"") {
                 val result = Desk().run("$command --help")
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/RateControl.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/RateControl.kt
@@ -111,7 +111,7 @@
         /** Time for which a permit is valid; entries and sidecars must agree on it. */
         val PERMIT_VALIDITY: Duration = LimitTimes().permitValidity
 
-        private val TICK = 50.milliseconds
+        private val TICK = 100.milliseconds
         private val ANSWER_BOUND = 1.seconds
         private val DEFAULT_RETRY = 1.seconds
     }
