Notice entries that are lost without a word, and tell callers to come only when they can be served

Cause: a killed entry stayed registered, so its slots stayed unclaimed and its refusals unstored; /health said 200 before an entry had slots and sidecars.

--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/EntryDaemon.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/EntryDaemon.kt
@@ -61,6 +61,7 @@
     vertx: Vertx,
     private val clock: MonotonicClock = MonotonicClock(),
 ) {
+    private val startedAt = clock.now()
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val incarnation = Incarnation(clock.now().toEpochMilliseconds())
     private val registration = MemberRegistration(store)
@@ -69,7 +70,7 @@
     private val endpoint = WireEndpoint(hello(), scope, now = clock::now)
     private val active = ActiveRequests()
     private val directory = MemberDirectory(settings.host.name)
-    private val peers = PeerConnections(endpoint, scope, directory::addressOf, ::receive)
+    private val peers = PeerConnections(endpoint, scope, directory::addressOf, ::receive, clock::now)
     private val follower =
         ConfigurationFollower(
             host = settings.host.name,
@@ -95,12 +96,13 @@
             ledger = RefusalLedger(settings.host.name, incarnation),
             store = store,
             registry = registry,
-            peers = { directory.otherEntries.map { RefusalPeer(it.host, it.failureDomain) } },
+            peers = { liveEntries().map { RefusalPeer(it.host, it.failureDomain) } },
             send = peers::send,
             now = clock::now,
         )
     private val callers = CallerServer(vertx, online, jobs, refusals::record, { draining })
-    private val operators = OperatorServer(vertx, registry, ready = { !draining }, status = ::status)
+    private val operators =
+        OperatorServer(vertx, registry, ready = { !draining && mayTakeCallers() }, status = ::status)
 
     @Volatile
     private var slots: SlotKeeper? = null
@@ -136,6 +138,7 @@
             register(bound)
             scope.launch { follower.run() }
             scope.launch { refusals.storeLoop() }
+            scope.launch { probeLoop() }
             scope.launch { PrefixWatcher(store, MemberRegistration.PREFIX).follow { takeMembers(it.values) } }
             operators.start(settings.host.address, settings.host.operatorPort)
             callerPort = callers.start(settings.host.address, settings.callerPort)
@@ -189,7 +192,7 @@
                 leases = leases,
                 limiter = limiter,
                 store = store,
-                peers = { directory.otherEntries.map { EntryPeer(it.host, it.failureDomain) } },
+                peers = { liveEntries().map { EntryPeer(it.host, it.failureDomain) } },
                 send = ::send,
                 now = clock::now,
             )
@@ -235,11 +238,34 @@
     private fun takeMembers(objects: Collection<StoredObject>) {
         val members = objects.mapNotNull { StoredDocuments.decode(Member.serializer(), it.value).get() }
         directory.update(members)
-        refusals.entriesChanged(directory.otherEntries.associate { it.host to it.incarnation })
+        refusals.entriesChanged(liveIncarnations())
         follower.replaceMembers(members.mapTo(HashSet()) { RelayMember(it.host, it.failureDomain) })
         updateLinks()
     }
 
+    /** Looks after the other entries, so that one that was lost without a word is noticed. */
+    private suspend fun probeLoop() {
+        while (true) {
+            directory.otherEntries.take(PROBED_ENTRIES).forEach { peers.probe(it.host) }
+            refusals.entriesChanged(liveIncarnations())
+            delay(PROBE_INTERVAL)
+        }
+    }
+
+    /** Other entries that have registered and can be reached. */
+    private fun liveEntries(): List<Member> {
+        val lost = peers.unreachableFor(LOST_BOUND)
+        return directory.otherEntries.filterNot { it.host in lost }
+    }
+
+    private fun liveIncarnations(): Map<HostName, Incarnation> = liveEntries().associate { it.host to it.incarnation }
+
+    /** Whether callers should be sent here: requests can be served, and within their rates. */
+    private fun mayTakeCallers(): Boolean {
+        val hasSlots = slots?.holdsSlot == true || clock.now() - startedAt > SLOT_PATIENCE
+        return isReady && follower.serves && hasSlots && links.usable().isNotEmpty()
+    }
+
     private fun updateLinks() {
         val used = state?.sidecarsUsedBy(settings.host.name) ?: return
         links.update(directory.members.filter { it.target in used })
@@ -256,12 +282,17 @@
 
     private fun status(): String =
         """{"role":"entry","host":"${settings.host.name}","revision":${state?.configuration?.revision ?: 0},""" +
-            """"ready":$isReady,"usableTargets":${links.usable().size}}"""
+            """"ready":${mayTakeCallers()},"usableTargets":${links.usable().size}}"""
 
     public companion object {
         /** Time for which callers are still served after a stop was asked for. */
         public val NOTICE: Duration = 5.seconds
 
+        /** Time that an entry waits for a slot before it borrows from others' alone. */
+        private val SLOT_PATIENCE = 15.seconds
+        private val LOST_BOUND = 10.seconds
+        private val PROBE_INTERVAL = 1.seconds
+        private const val PROBED_ENTRIES = 16
         private val DRAIN_INTERVAL = 50.milliseconds
         private val RELEASE_BOUND = 15.seconds
         private val logger = LoggerFactory.getLogger(EntryDaemon::class.java)
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/SlotKeeper.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/SlotKeeper.kt
@@ -44,6 +44,10 @@
     /** Whether it is known that some entry holds a slot. */
     val isSettled: Boolean get() = leases.holders().isNotEmpty()
 
+    /** Whether this entry counts the share of a slot. */
+    val holdsSlot: Boolean get() = held.isNotEmpty()
+
+    @Volatile
     private var held = emptyList<Int>()
 
     /** Keeps the slots until the scope ends. */
--- a/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/SidecarDaemon.kt
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/SidecarDaemon.kt
@@ -65,7 +65,7 @@
     private val endpoint = WireEndpoint(hello(), scope, now = clock::now)
     private val registration = MemberRegistration(store)
     private val directory = MemberDirectory(settings.host.name)
-    private val peers = PeerConnections(endpoint, scope, directory::addressOf, ::receive)
+    private val peers = PeerConnections(endpoint, scope, directory::addressOf, ::receive, clock::now)
     private val follower =
         ConfigurationFollower(
             host = settings.host.name,
--- a/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/TargetClient.kt
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/TargetClient.kt
@@ -2,6 +2,8 @@
 
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpClient
+import io.vertx.core.http.HttpClientOptions
 import io.vertx.core.http.HttpClientRequest
 import io.vertx.core.http.HttpClientResponse
 import io.vertx.core.http.HttpMethod
@@ -31,6 +33,13 @@
 ) {
     private val client = vertx.createHttpClient(PoolOptions().setHttp1MaxSize(MAXIMUM_CONNECTIONS))
 
+    /** Makes a connection for each call, so that no call meets one that the target is about to close. */
+    private val unpooledClient =
+        vertx.createHttpClient(
+            HttpClientOptions().setKeepAlive(false),
+            PoolOptions().setHttp1MaxSize(MAXIMUM_CONNECTIONS),
+        )
+
     /** Runs the work of [offer] and reports to [sink]. */
     suspend fun run(
         offer: Offer,
@@ -40,7 +49,7 @@
             return
         }
         try {
-            call(callOf(offer), sink)
+            call(if (offer.idempotent) client else unpooledClient, callOf(offer), sink)
         } catch (exception: CancellationException) {
             throw exception
         } catch (_: ConnectException) {
@@ -77,6 +86,7 @@
     )
 
     private suspend fun call(
+        client: HttpClient,
         call: TargetCall,
         sink: AnswerSink,
     ) {
--- a/tanagerlane-wire/src/main/kotlin/tanagerlane/wire/PeerConnections.kt
+++ b/tanagerlane-wire/src/main/kotlin/tanagerlane/wire/PeerConnections.kt
@@ -9,6 +9,8 @@
 import tanagerlane.model.HostName
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.LinkedBlockingQueue
+import kotlin.time.Duration
+import kotlin.time.Instant
 
 /**
  * Connections among processes of one role, made when there is something to say.
@@ -23,10 +25,13 @@
     private val scope: CoroutineScope,
     private val addressOf: (HostName) -> WireAddress?,
     private val onMessage: suspend (HostName, WireMessage) -> Unit,
+    private val now: () -> Instant,
 ) {
     private val open = ConcurrentHashMap<HostName, WireConnection>()
     private val waiting = ConcurrentHashMap<HostName, LinkedBlockingQueue<WireMessage>>()
 
+    private val unreachableSince = ConcurrentHashMap<HostName, Instant>()
+
     /** Hosts with an open connection. */
     public val connected: Set<HostName> get() = open.filterValues { it.isOpen }.keys
 
@@ -43,10 +48,24 @@
         }
     }
 
+    /** Connects to [host] unless that has been done or is under way. */
+    public fun probe(host: HostName) {
+        if (host !in connected && waiting.putIfAbsent(host, LinkedBlockingQueue(MAXIMUM_WAITING)) == null) {
+            scope.launch { connect(host) }
+        }
+    }
+
+    /** Hosts to which every attempt to connect has failed for at least [bound]. */
+    public fun unreachableFor(bound: Duration): Set<HostName> {
+        val latest = now() - bound
+        return unreachableSince.filterValues { it <= latest }.keys
+    }
+
     /** Takes messages from [connection] until it ends; for connections that the other side made. */
     public suspend fun serve(connection: WireConnection) {
         val host = connection.peer.host
         open[host] = connection
+        unreachableSince.remove(host)
         try {
             for (message in connection.incoming) {
                 onMessage(host, message)
@@ -78,6 +97,7 @@
             .connect(address, host)
             .onErr {
                 waiting.remove(host)
+                unreachableSince.putIfAbsent(host, now())
                 logger.debug("no connection to {}: {}", host, it)
             }.onOk { connection ->
                 open[host] = connection
