Show only what a submission's answer tells; make demo keys like issued ones

A resent job that had finished was shown as "items: 600, with a result: 0", since the answer to PUT does not count results; `job submit` now leaves the counts to `job status`. The demo made and digested its key by code of its own; it uses PresentedKey.

--- a/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/caller/CallerCommand.kt
+++ b/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/caller/CallerCommand.kt
@@ -52,11 +52,17 @@
     /** Returns the value, or ends the command with one line about the failure. */
     protected fun <T> Result<T, EntryFailure>.orFail(): T = getOrElse { fail(listOf(explanationOf(it))) }
 
-    protected fun show(document: JobDocument) {
+    /** Shows what the answer to a submission tells, which doesn't count results. */
+    protected fun showAccepted(document: JobDocument) {
         echo("job: ${document.job}")
         echo("phase: ${document.phase.name.lowercase()}")
         echo("due: ${document.due}, submitted: ${document.submittedAt}")
-        echo("items: ${document.items}, with a result: ${document.done}, of which failed: ${document.failed}")
+        echo("items: ${document.items}")
+    }
+
+    protected fun show(document: JobDocument) {
+        showAccepted(document)
+        echo("items with a result: ${document.done}, of which failed: ${document.failed}")
     }
 }
 
--- a/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/caller/JobCommand.kt
+++ b/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/caller/JobCommand.kt
@@ -28,7 +28,8 @@
     override fun help(context: Context): String = "Submit a job; the same job may be submitted again."
 
     override suspend fun execute(entry: EntryClient) {
-        show(entry.submit(job, due, file).orFail())
+        val document = entry.submit(job, due, file).orFail()
+        showAccepted(document)
     }
 }
 
--- a/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/demo/DemoCommand.kt
+++ b/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/demo/DemoCommand.kt
@@ -14,18 +14,16 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import tanagerlane.cli.daemon.runUntilStopped
 import tanagerlane.cli.daemon.settingsOf
+import tanagerlane.cli.operator.randomBytes
 import tanagerlane.configuration.ConfigurationCodec
 import tanagerlane.configuration.SettingsReader
 import tanagerlane.inventory.CallerKey
 import tanagerlane.inventory.Configuration
 import tanagerlane.inventory.Inventory
-import tanagerlane.model.KeyDigest
+import tanagerlane.keys.PresentedKey
 import tanagerlane.model.Revision
 import tanagerlane.store.ObjectKey
 import java.nio.file.Path
-import java.security.MessageDigest
-import java.security.SecureRandom
-import java.util.HexFormat
 import kotlin.system.exitProcess
 import kotlin.time.Duration.Companion.seconds
 
@@ -42,12 +40,12 @@
     override fun run() {
         val inventory = settingsOf(inventoryFile, SettingsReader.inventory()::read)
         val deployment = LocalDeployment(inventory, ENTRIES, Vertx.vertx())
-        val key = newKey()
+        val key = PresentedKey.of(randomBytes(PresentedKey.RANDOM_BYTES))
         runBlocking {
             start(deployment, inventory, key)
             echo("base-url: ${deployment.baseUrl(0)}")
-            echo("key: $key")
-            val rows = DemoRequests(deployment.baseUrl(0), key, inventory).send { echo(it) }
+            echo("key: ${key.text}")
+            val rows = DemoRequests(deployment.baseUrl(0), key.text, inventory).send { echo(it) }
             echo(tableOf(rows))
         }
         if (serve) {
@@ -60,11 +58,11 @@
     private suspend fun start(
         deployment: LocalDeployment,
         inventory: Inventory,
-        key: String,
+        key: PresentedKey,
     ) {
         echo("starting ${inventory.targets.size} targets with sidecars and $ENTRIES entries", err = true)
         deployment.start(port)
-        val callerKey = CallerKey(digestOf(key), inventory.workspaces.first().name, "demo")
+        val callerKey = CallerKey(key.digest(), inventory.workspaces.first().name, "demo")
         val document = Configuration(Revision(1), inventory, listOf(callerKey))
         val payload = ConfigurationCodec.encode(document)
         deployment.memoryStore
@@ -79,18 +77,8 @@
         return rows.joinToString("\n") { "${it.request.padEnd(width)}  ${it.milliseconds} ms  ${it.outcome}" }
     }
 
-    private fun newKey(): String {
-        val bytes = ByteArray(KEY_BYTES)
-        SecureRandom().nextBytes(bytes)
-        return "tl-" + HexFormat.of().formatHex(bytes)
-    }
-
-    private fun digestOf(key: String): KeyDigest =
-        KeyDigest(HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(key.encodeToByteArray())))
-
     private companion object {
         const val ENTRIES = 3
-        const val KEY_BYTES = 24
         val READY_BOUND = 30.seconds
     }
 }
