Let time pass for the queue in the scheduler's test, as the daemon does

Cause: the test of a batch item that is stopped again and again ran no tick loop. A batch start that is held back after an online entry waits for a tick; in a warm process the last online entry ends before the hold does, and nothing wakes the item. Seen: hung in 3 runs after other classes in one process, passed alone. Ruled out: the engine's client, whose streams had ended.

--- a/tanagerlane-sidecar/src/test/kotlin/tanagerlane/sidecar/engine/TargetSchedulerTest.kt
+++ b/tanagerlane-sidecar/src/test/kotlin/tanagerlane/sidecar/engine/TargetSchedulerTest.kt
@@ -65,6 +65,7 @@
 
         test("a batch item that online requests stop again and again has a whole answer with no gap and no repeat") {
             val scheduler = scheduler()
+            val ticks = launch { scheduler.tickLoop() }
             val undisturbed = RecordedAnswer().also { scheduler.run(offer("undisturbed", RequestClass.BATCH), it.sink) }
             val disturbed = RecordedAnswer()
             val batch = launch { scheduler.run(offer("disturbed", RequestClass.BATCH), disturbed.sink) }
@@ -75,6 +76,7 @@
                 online.ended shouldBe 1
             }
             batch.join()
+            ticks.cancel()
             content(disturbed) shouldBe content(undisturbed)
             content(disturbed).split(' ').size shouldBe TOKENS
             disturbed.ended shouldBe 1
