Count an entry as ready only when it can spend or borrow shares

Cause: an entry was ready once any slot had a holder, up to half a second before the holder counted it; the first calls were refused with 429 in 2 of 5 tests of LocalDeploymentTest. Ready now means that this entry counts a slot or is connected to all that do.

--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/EntryDaemon.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/EntryDaemon.kt
@@ -124,8 +124,8 @@
     public var callerPort: Int = 0
         private set
 
-    /** Whether a configuration is in force and some entry holds slots. */
-    public val isReady: Boolean get() = state != null && slots?.isSettled == true
+    /** Whether a configuration is in force and shares of the rates can be spent or borrowed. */
+    public val isReady: Boolean get() = state != null && slots?.isUsable(peers.connected) == true
 
     /** Number of targets whose sidecars are connected. */
     public val connectedTargets: Int get() = links.connected().size
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/SlotKeeper.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/SlotKeeper.kt
@@ -41,8 +41,11 @@
     @Volatile
     private var stopping = false
 
-    /** Whether it is known that some entry holds a slot. */
-    val isSettled: Boolean get() = leases.holders().isNotEmpty()
+    /** Whether this entry counts a slot, or is [connected] to all that do. */
+    fun isUsable(connected: Set<HostName>): Boolean {
+        val holders = leases.holders()
+        return holdsSlot || (holders.isNotEmpty() && holders.all { it in connected })
+    }
 
     /** Whether this entry counts the share of a slot. */
     val holdsSlot: Boolean get() = held.isNotEmpty()
