--- a/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/operator/StatusCommand.kt
+++ b/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/operator/StatusCommand.kt
@@ -1,12 +1,10 @@
 package tanagerlane.cli.operator
 
 import com.github.ajalt.clikt.core.Context
-import com.github.michaelbull.result.get
 import com.github.michaelbull.result.mapError
 import tanagerlane.inventory.Configuration
 import tanagerlane.membership.Member
 import tanagerlane.platform.MemberRegistration
-import tanagerlane.platform.StoredDocuments
 import tanagerlane.platform.configuration.ConfigurationFailure
 
 /** Shows the configuration in force and the processes that are registered. */
@@ -35,7 +33,7 @@
 
     private suspend fun members(): List<Member> {
         val listing = store.list(MemberRegistration.PREFIX).mapError { ConfigurationFailure.NotRead(it) }.orFail()
-        return listing.objects.mapNotNull { StoredDocuments.decode(Member.serializer(), it.value).get() }
+        return MemberRegistration.membersIn(listing.objects)
     }
 
     private fun lineOf(member: Member): String {
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/EntryDaemon.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/EntryDaemon.kt
@@ -1,7 +1,6 @@
 package tanagerlane.entry
 
 import com.github.michaelbull.result.Result
-import com.github.michaelbull.result.get
 import com.github.michaelbull.result.map
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
@@ -35,7 +34,6 @@
 import tanagerlane.platform.MonotonicClock
 import tanagerlane.platform.OperatorServer
 import tanagerlane.platform.PrefixWatcher
-import tanagerlane.platform.StoredDocuments
 import tanagerlane.platform.configuration.ConfigurationFollower
 import tanagerlane.platform.openTelemetryOf
 import tanagerlane.refusals.RefusalLedger
@@ -236,7 +234,7 @@
     }
 
     private fun takeMembers(objects: Collection<StoredObject>) {
-        val members = objects.mapNotNull { StoredDocuments.decode(Member.serializer(), it.value).get() }
+        val members = MemberRegistration.membersIn(objects)
         directory.update(members)
         refusals.entriesChanged(liveIncarnations())
         follower.replaceMembers(members.mapTo(HashSet()) { RelayMember(it.host, it.failureDomain) })
--- a/tanagerlane-platform/src/main/kotlin/tanagerlane/platform/MemberRegistration.kt
+++ b/tanagerlane-platform/src/main/kotlin/tanagerlane/platform/MemberRegistration.kt
@@ -13,6 +13,7 @@
 import tanagerlane.store.ObjectStore
 import tanagerlane.store.ObjectVersion
 import tanagerlane.store.StoreFailure
+import tanagerlane.store.StoredObject
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -65,6 +66,10 @@
         /** Prefix of all registrations. */
         public const val PREFIX: String = "members/"
 
+        /** Reads the registrations in [objects]; those that can't be read are left out. */
+        public fun membersIn(objects: Collection<StoredObject>): List<Member> =
+            objects.mapNotNull { StoredDocuments.decode(Member.serializer(), it.value).get() }
+
         private val logger = LoggerFactory.getLogger(MemberRegistration::class.java)
 
         internal fun keyOf(member: Member): ObjectKey =
