Rename the module of shared daemon parts, and read an engine's error answer whole

Cause: EngineClient resumed an error answer before it asked for its body. Where the answer ended between the two, on the event loop's thread, the body never came and batch work on that engine hung until its limit; in production the item would have kept its place for ever. Ruled out: the queue's wake-up, which had been mended before. The module tanagerlane-platform becomes tanagerlane-runtime, so that platform/ can hold the adapter.

--- a/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/Main.kt
+++ b/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/Main.kt
@@ -21,7 +21,7 @@
 import tanagerlane.cli.operator.RefusalsCommand
 import tanagerlane.cli.operator.StatusCommand
 import tanagerlane.cli.operator.StoreFactory
-import tanagerlane.platform.HttpObjectStore
+import tanagerlane.runtime.HttpObjectStore
 import kotlin.system.exitProcess
 
 /** Runs the command line. */
--- a/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/caller/EntryClient.kt
+++ b/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/caller/EntryClient.kt
@@ -20,7 +20,7 @@
 import tanagerlane.keys.PresentedKey
 import tanagerlane.model.JobId
 import tanagerlane.model.Payload
-import tanagerlane.platform.StoredDocuments
+import tanagerlane.runtime.StoredDocuments
 import java.io.IOException
 import java.net.ConnectException
 import java.net.URLEncoder
--- a/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/daemon/EntryCommand.kt
+++ b/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/daemon/EntryCommand.kt
@@ -9,7 +9,7 @@
 import kotlinx.coroutines.runBlocking
 import tanagerlane.configuration.SettingsReader
 import tanagerlane.entry.EntryDaemon
-import tanagerlane.platform.HttpObjectStore
+import tanagerlane.runtime.HttpObjectStore
 
 /** Runs an entry until it is told to stop. */
 internal class EntryCommand : CliktCommand(name = "entry") {
--- a/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/daemon/SidecarCommand.kt
+++ b/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/daemon/SidecarCommand.kt
@@ -8,7 +8,7 @@
 import com.github.michaelbull.result.getOrElse
 import kotlinx.coroutines.runBlocking
 import tanagerlane.configuration.SettingsReader
-import tanagerlane.platform.HttpObjectStore
+import tanagerlane.runtime.HttpObjectStore
 import tanagerlane.sidecar.SidecarDaemon
 
 /** Runs a sidecar until it is told to stop. */
--- a/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/demo/LocalDeployment.kt
+++ b/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/demo/LocalDeployment.kt
@@ -9,7 +9,7 @@
 import tanagerlane.inventory.Target
 import tanagerlane.model.FailureDomain
 import tanagerlane.model.HostName
-import tanagerlane.platform.HttpObjectStore
+import tanagerlane.runtime.HttpObjectStore
 import tanagerlane.settings.EntrySettings
 import tanagerlane.settings.HostSettings
 import tanagerlane.settings.SidecarSettings
--- a/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/operator/FailureExplanation.kt
+++ b/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/operator/FailureExplanation.kt
@@ -1,6 +1,6 @@
 package tanagerlane.cli.operator
 
-import tanagerlane.platform.configuration.ConfigurationFailure
+import tanagerlane.runtime.configuration.ConfigurationFailure
 import tanagerlane.store.StoreFailure
 
 /** Says in one line what went wrong and, where it helps, what to do. */
--- a/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/operator/OperatorCommand.kt
+++ b/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/operator/OperatorCommand.kt
@@ -8,8 +8,8 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.getOrElse
 import kotlinx.coroutines.runBlocking
-import tanagerlane.platform.configuration.ConfigurationFailure
-import tanagerlane.platform.configuration.ConfigurationStore
+import tanagerlane.runtime.configuration.ConfigurationFailure
+import tanagerlane.runtime.configuration.ConfigurationStore
 import tanagerlane.store.ObjectStore
 import java.security.SecureRandom
 import java.util.HexFormat
--- a/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/operator/OrderCommand.kt
+++ b/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/operator/OrderCommand.kt
@@ -15,8 +15,8 @@
 import tanagerlane.orders.OrderDraft
 import tanagerlane.orders.StoredOrder
 import tanagerlane.orders.WantedState
-import tanagerlane.platform.orders.OrderFailure
-import tanagerlane.platform.orders.OrderStore
+import tanagerlane.runtime.orders.OrderFailure
+import tanagerlane.runtime.orders.OrderStore
 
 /** Groups the commands on orders to targets. */
 internal class OrderCommand(
--- a/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/operator/RefusalsCommand.kt
+++ b/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/operator/RefusalsCommand.kt
@@ -9,8 +9,8 @@
 import tanagerlane.message.RefusalMinute
 import tanagerlane.message.RefusalTally
 import tanagerlane.model.WorkspaceName
-import tanagerlane.platform.StoredDocuments
-import tanagerlane.platform.configuration.ConfigurationFailure
+import tanagerlane.runtime.StoredDocuments
+import tanagerlane.runtime.configuration.ConfigurationFailure
 import tanagerlane.refusals.RefusalAudit
 import kotlin.time.Instant
 
--- a/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/operator/StatusCommand.kt
+++ b/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/operator/StatusCommand.kt
@@ -4,8 +4,8 @@
 import com.github.michaelbull.result.mapError
 import tanagerlane.inventory.Configuration
 import tanagerlane.membership.Member
-import tanagerlane.platform.MemberRegistration
-import tanagerlane.platform.configuration.ConfigurationFailure
+import tanagerlane.runtime.MemberRegistration
+import tanagerlane.runtime.configuration.ConfigurationFailure
 
 /** Shows the configuration in force and the processes that are registered. */
 internal class StatusCommand(
--- a/tanagerlane-cli/src/test/kotlin/tanagerlane/cli/operator/RefusalsCommandTest.kt
+++ b/tanagerlane-cli/src/test/kotlin/tanagerlane/cli/operator/RefusalsCommandTest.kt
@@ -13,7 +13,7 @@
 import tanagerlane.model.RefusalReason
 import tanagerlane.model.RunState
 import tanagerlane.model.WorkspaceName
-import tanagerlane.platform.StoredDocuments
+import tanagerlane.runtime.StoredDocuments
 import tanagerlane.standin.store.MemoryObjectStore
 import tanagerlane.standin.store.StoreFaults
 import tanagerlane.store.ObjectKey
--- a/tanagerlane-cli/src/test/kotlin/tanagerlane/scenario/RefusalScenarioTest.kt
+++ b/tanagerlane-cli/src/test/kotlin/tanagerlane/scenario/RefusalScenarioTest.kt
@@ -4,7 +4,7 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
 import tanagerlane.message.RefusalMinute
-import tanagerlane.platform.StoredDocuments
+import tanagerlane.runtime.StoredDocuments
 
 class RefusalScenarioTest :
     FunSpec({
--- a/tanagerlane-cli/src/test/kotlin/tanagerlane/scenario/Scenario.kt
+++ b/tanagerlane-cli/src/test/kotlin/tanagerlane/scenario/Scenario.kt
@@ -11,8 +11,8 @@
 import tanagerlane.model.KeyDigest
 import tanagerlane.model.Payload
 import tanagerlane.model.WorkspaceName
-import tanagerlane.platform.HttpObjectStore
-import tanagerlane.platform.configuration.ConfigurationStore
+import tanagerlane.runtime.HttpObjectStore
+import tanagerlane.runtime.configuration.ConfigurationStore
 import tanagerlane.store.ObjectKey
 import java.net.InetAddress
 import java.net.ServerSocket
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/OnlineRoutes.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/OnlineRoutes.kt
@@ -23,7 +23,7 @@
 import tanagerlane.model.RunState
 import tanagerlane.model.ServiceName
 import tanagerlane.model.WorkspaceName
-import tanagerlane.platform.HopTracer
+import tanagerlane.runtime.HopTracer
 import java.util.UUID
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/RefusalRecorder.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/RefusalRecorder.kt
@@ -13,7 +13,7 @@
 import tanagerlane.model.HostName
 import tanagerlane.model.Incarnation
 import tanagerlane.model.WorkspaceName
-import tanagerlane.platform.StoredDocuments
+import tanagerlane.runtime.StoredDocuments
 import tanagerlane.refusals.RefusalCopies
 import tanagerlane.refusals.RefusalFlush
 import tanagerlane.refusals.RefusalLedger
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/SlotKeeper.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/SlotKeeper.kt
@@ -15,8 +15,8 @@
 import tanagerlane.message.EntrySlot
 import tanagerlane.message.WireMessage
 import tanagerlane.model.HostName
-import tanagerlane.platform.PrefixWatcher
-import tanagerlane.platform.StoredDocuments
+import tanagerlane.runtime.PrefixWatcher
+import tanagerlane.runtime.StoredDocuments
 import tanagerlane.store.ObjectKey
 import tanagerlane.store.ObjectStore
 import tanagerlane.store.StoredObject
--- a/tanagerlane-platform/src/main/kotlin/tanagerlane/platform/DocumentFault.kt
+++ b/tanagerlane-runtime/src/main/kotlin/tanagerlane/runtime/DocumentFault.kt
@@ -1,4 +1,4 @@
-package tanagerlane.platform
+package tanagerlane.runtime
 
 /**
  * A stored object that could not be read.
--- a/tanagerlane-platform/src/main/kotlin/tanagerlane/platform/HopSpan.kt
+++ b/tanagerlane-runtime/src/main/kotlin/tanagerlane/runtime/HopSpan.kt
@@ -1,4 +1,4 @@
-package tanagerlane.platform
+package tanagerlane.runtime
 
 import io.opentelemetry.api.trace.Span
 import io.opentelemetry.api.trace.StatusCode
--- a/tanagerlane-platform/src/main/kotlin/tanagerlane/platform/HttpObjectStore.kt
+++ b/tanagerlane-runtime/src/main/kotlin/tanagerlane/runtime/HttpObjectStore.kt
@@ -1,4 +1,4 @@
-package tanagerlane.platform
+package tanagerlane.runtime
 
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
--- a/tanagerlane-platform/src/main/kotlin/tanagerlane/platform/LogSpanExporter.kt
+++ b/tanagerlane-runtime/src/main/kotlin/tanagerlane/runtime/LogSpanExporter.kt
@@ -1,4 +1,4 @@
-package tanagerlane.platform
+package tanagerlane.runtime
 
 import io.opentelemetry.sdk.common.CompletableResultCode
 import io.opentelemetry.sdk.trace.data.SpanData
--- a/tanagerlane-platform/src/main/kotlin/tanagerlane/platform/MonotonicClock.kt
+++ b/tanagerlane-runtime/src/main/kotlin/tanagerlane/runtime/MonotonicClock.kt
@@ -1,4 +1,4 @@
-package tanagerlane.platform
+package tanagerlane.runtime
 
 import kotlin.time.Clock
 import kotlin.time.Duration.Companion.nanoseconds
--- a/tanagerlane-platform/src/main/kotlin/tanagerlane/platform/OperatorServer.kt
+++ b/tanagerlane-runtime/src/main/kotlin/tanagerlane/runtime/OperatorServer.kt
@@ -1,4 +1,4 @@
-package tanagerlane.platform
+package tanagerlane.runtime
 
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import io.vertx.core.Vertx
--- a/tanagerlane-platform/src/main/kotlin/tanagerlane/platform/StoreCall.kt
+++ b/tanagerlane-runtime/src/main/kotlin/tanagerlane/runtime/StoreCall.kt
@@ -1,4 +1,4 @@
-package tanagerlane.platform
+package tanagerlane.runtime
 
 /** Kind of a call on the object API, for counting against the platform's budget. */
 public enum class StoreCall {
--- a/tanagerlane-platform/src/main/kotlin/tanagerlane/platform/Tracing.kt
+++ b/tanagerlane-runtime/src/main/kotlin/tanagerlane/runtime/Tracing.kt
@@ -1,4 +1,4 @@
-package tanagerlane.platform
+package tanagerlane.runtime
 
 import io.opentelemetry.api.OpenTelemetry
 import io.opentelemetry.api.common.AttributeKey
--- a/tanagerlane-platform/src/main/kotlin/tanagerlane/platform/configuration/ConfigurationFollower.kt
+++ b/tanagerlane-runtime/src/main/kotlin/tanagerlane/runtime/configuration/ConfigurationFollower.kt
@@ -1,4 +1,4 @@
-package tanagerlane.platform.configuration
+package tanagerlane.runtime.configuration
 
 import org.slf4j.LoggerFactory
 import tanagerlane.configuration.ConfigurationState
--- a/tanagerlane-platform/src/main/kotlin/tanagerlane/platform/configuration/ConfigurationObjects.kt
+++ b/tanagerlane-runtime/src/main/kotlin/tanagerlane/runtime/configuration/ConfigurationObjects.kt
@@ -1,4 +1,4 @@
-package tanagerlane.platform.configuration
+package tanagerlane.runtime.configuration
 
 import tanagerlane.model.FailureDomain
 import tanagerlane.store.ObjectKey
--- a/tanagerlane-platform/src/main/kotlin/tanagerlane/platform/configuration/ConfigurationStore.kt
+++ b/tanagerlane-runtime/src/main/kotlin/tanagerlane/runtime/configuration/ConfigurationStore.kt
@@ -1,4 +1,4 @@
-package tanagerlane.platform.configuration
+package tanagerlane.runtime.configuration
 
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
--- a/tanagerlane-platform/src/main/kotlin/tanagerlane/platform/configuration/ConfigurationWatcher.kt
+++ b/tanagerlane-runtime/src/main/kotlin/tanagerlane/runtime/configuration/ConfigurationWatcher.kt
@@ -1,4 +1,4 @@
-package tanagerlane.platform.configuration
+package tanagerlane.runtime.configuration
 
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.get
--- a/tanagerlane-platform/src/main/kotlin/tanagerlane/platform/configuration/StoredConfiguration.kt
+++ b/tanagerlane-runtime/src/main/kotlin/tanagerlane/runtime/configuration/StoredConfiguration.kt
@@ -1,4 +1,4 @@
-package tanagerlane.platform.configuration
+package tanagerlane.runtime.configuration
 
 import tanagerlane.inventory.Configuration
 import tanagerlane.store.ObjectVersion
--- a/tanagerlane-platform/src/main/kotlin/tanagerlane/platform/configuration/WatcherSettings.kt
+++ b/tanagerlane-runtime/src/main/kotlin/tanagerlane/runtime/configuration/WatcherSettings.kt
@@ -1,4 +1,4 @@
-package tanagerlane.platform.configuration
+package tanagerlane.runtime.configuration
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
--- a/tanagerlane-platform/src/main/kotlin/tanagerlane/platform/orders/OrderFailure.kt
+++ b/tanagerlane-runtime/src/main/kotlin/tanagerlane/runtime/orders/OrderFailure.kt
@@ -1,7 +1,7 @@
-package tanagerlane.platform.orders
+package tanagerlane.runtime.orders
 
 import tanagerlane.model.Revision
-import tanagerlane.platform.DocumentFault
+import tanagerlane.runtime.DocumentFault
 import tanagerlane.store.StoreFailure
 
 /** Why an operator's order was not read or made. */
--- a/tanagerlane-platform/src/main/kotlin/tanagerlane/platform/orders/OrderStore.kt
+++ b/tanagerlane-runtime/src/main/kotlin/tanagerlane/runtime/orders/OrderStore.kt
@@ -1,4 +1,4 @@
-package tanagerlane.platform.orders
+package tanagerlane.runtime.orders
 
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
@@ -12,7 +12,7 @@
 import tanagerlane.orders.DraftStep
 import tanagerlane.orders.OrderDraft
 import tanagerlane.orders.StoredOrder
-import tanagerlane.platform.StoredDocuments
+import tanagerlane.runtime.StoredDocuments
 import tanagerlane.store.ObjectKey
 import tanagerlane.store.ObjectStore
 import tanagerlane.store.ObjectVersion
--- a/tanagerlane-platform/src/main/kotlin/tanagerlane/platform/orders/ReadOrder.kt
+++ b/tanagerlane-runtime/src/main/kotlin/tanagerlane/runtime/orders/ReadOrder.kt
@@ -1,4 +1,4 @@
-package tanagerlane.platform.orders
+package tanagerlane.runtime.orders
 
 import tanagerlane.orders.StoredOrder
 import tanagerlane.store.ObjectVersion
--- a/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/ClaimKeeper.kt
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/ClaimKeeper.kt
@@ -17,7 +17,7 @@
 import tanagerlane.model.RequestId
 import tanagerlane.model.RunState
 import tanagerlane.model.TargetName
-import tanagerlane.platform.StoredDocuments
+import tanagerlane.runtime.StoredDocuments
 import tanagerlane.store.ObjectKey
 import tanagerlane.store.ObjectStore
 import tanagerlane.store.StoreFailure
--- a/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/SidecarDaemon.kt
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/SidecarDaemon.kt
@@ -29,11 +29,11 @@
 import tanagerlane.model.HostName
 import tanagerlane.model.Incarnation
 import tanagerlane.orders.OrderHolder
-import tanagerlane.platform.MemberRegistration
-import tanagerlane.platform.MonotonicClock
-import tanagerlane.platform.OperatorServer
-import tanagerlane.platform.PrefixWatcher
-import tanagerlane.platform.configuration.ConfigurationFollower
+import tanagerlane.runtime.MemberRegistration
+import tanagerlane.runtime.MonotonicClock
+import tanagerlane.runtime.OperatorServer
+import tanagerlane.runtime.PrefixWatcher
+import tanagerlane.runtime.configuration.ConfigurationFollower
 import tanagerlane.settings.SidecarSettings
 import tanagerlane.sidecar.engine.TargetScheduler
 import tanagerlane.sidecar.orders.OrderClient
--- a/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/engine/EngineClient.kt
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/engine/EngineClient.kt
@@ -82,8 +82,9 @@
                 ).map { it.also(HttpClientResponse::pause) }
                 .coAwait()
         if (response.statusCode() !in SUCCESS) {
+            val body = response.body()
             response.resume()
-            return Err(EngineFailure.Answered(response.statusCode(), Payload.of(response.body().coAwait().bytes)))
+            return Err(EngineFailure.Answered(response.statusCode(), Payload.of(body.coAwait().bytes)))
         }
         val parser = EventParser()
         for (piece in pieces(response)) {
--- a/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/orders/OrderClient.kt
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/orders/OrderClient.kt
@@ -13,7 +13,7 @@
 import tanagerlane.orders.FencedOrder
 import tanagerlane.orders.OrderOutcome
 import tanagerlane.orders.OrderRefusal
-import tanagerlane.platform.StoredDocuments
+import tanagerlane.runtime.StoredDocuments
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.time.Duration
 
--- a/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/orders/OrderKeeper.kt
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/orders/OrderKeeper.kt
@@ -17,9 +17,9 @@
 import tanagerlane.orders.OrderStep
 import tanagerlane.orders.OrderTimes
 import tanagerlane.orders.StoredOrder
-import tanagerlane.platform.PrefixWatcher
-import tanagerlane.platform.StoredDocuments
-import tanagerlane.platform.orders.OrderStore
+import tanagerlane.runtime.PrefixWatcher
+import tanagerlane.runtime.StoredDocuments
+import tanagerlane.runtime.orders.OrderStore
 import tanagerlane.store.ObjectStore
 import tanagerlane.store.ObjectVersion
 import tanagerlane.store.StoreFailure
--- a/tanagerlane-sidecar/src/test/kotlin/tanagerlane/sidecar/engine/TargetSchedulerTest.kt
+++ b/tanagerlane-sidecar/src/test/kotlin/tanagerlane/sidecar/engine/TargetSchedulerTest.kt
@@ -22,7 +22,7 @@
 import tanagerlane.model.RequestId
 import tanagerlane.model.RunState
 import tanagerlane.model.WorkspaceName
-import tanagerlane.platform.MonotonicClock
+import tanagerlane.runtime.MonotonicClock
 import tanagerlane.queueing.QueueLoad
 import tanagerlane.queueing.QueueSettings
 import tanagerlane.sidecar.TargetClient
--- a/tanagerlane-sidecar/src/test/kotlin/tanagerlane/sidecar/orders/OrderKeeperTest.kt
+++ b/tanagerlane-sidecar/src/test/kotlin/tanagerlane/sidecar/orders/OrderKeeperTest.kt
@@ -27,8 +27,8 @@
 import tanagerlane.orders.OrderPhase
 import tanagerlane.orders.OrderRefusal
 import tanagerlane.orders.WantedState
-import tanagerlane.platform.orders.OrderFailure
-import tanagerlane.platform.orders.OrderStore
+import tanagerlane.runtime.orders.OrderFailure
+import tanagerlane.runtime.orders.OrderStore
 import tanagerlane.standin.store.MemoryObjectStore
 import tanagerlane.standin.store.StoreFaults
 import kotlin.time.Duration
