--- a/tanagerlane-batch/src/main/kotlin/tanagerlane/jobs/SettledWrites.kt
+++ b/tanagerlane-batch/src/main/kotlin/tanagerlane/jobs/SettledWrites.kt
@@ -19,7 +19,7 @@
  * with [StoreFailure.Conflict] when another value is in place, with [StoreFailure.OutcomeUnknown] when the doubt
  * remains, and with [StoreFailure.Unavailable] when the write certainly took no effect.
  */
-internal suspend fun ObjectStore.putSettled(
+public suspend fun ObjectStore.putSettled(
     key: ObjectKey,
     value: Payload,
     expected: ObjectVersion?,
--- a/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/operator/FailureExplanation.kt
+++ b/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/operator/FailureExplanation.kt
@@ -54,6 +54,7 @@
         is StoreFailure.NotFound -> "${failure.key} does not exist"
         is StoreFailure.Conflict -> "${failure.key} was changed by others at the same time"
         is StoreFailure.TooLarge -> "the configuration is over ${failure.maximumBytes} bytes"
+        StoreFailure.HistoryGone -> "the object API no longer keeps the changes that were asked for"
         is StoreFailure.Unavailable -> "the object API can't be reached (${failure.cause})"
         is StoreFailure.OutcomeUnknown -> "the answer of the object API was lost (${failure.cause})"
     }
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/configuration/HostSettingsCheck.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/configuration/HostSettingsCheck.kt
@@ -1,5 +1,7 @@
 package tanagerlane.configuration
 
+import tanagerlane.message.HostRole
+import tanagerlane.settings.DirectSettings
 import tanagerlane.settings.EntrySettings
 import tanagerlane.settings.HostSettings
 import tanagerlane.settings.SidecarSettings
@@ -8,6 +10,8 @@
 private val PORTS = 1..65535
 private val SLOTS = 1..1024
 private val IP_NUMBER = Regex("[0-9]{1,3}(\\.[0-9]{1,3}){3}|[0-9A-Fa-f:]*:[0-9A-Fa-f:.]*")
+private val VALUE_BYTES = 65_536..16_777_216
+private val SOCKET_ADDRESS = Regex("[0-9]{1,3}(\\.[0-9]{1,3}){3}:[0-9]{1,5}")
 private val HTTP_URL = Regex("https?://[^/\\s]+.*")
 
 /** Checks the ranges of an entry's settings. */
@@ -30,6 +34,33 @@
     checkUrl("targetUrl", settings.targetUrl, faults)
 }
 
+/** Checks the ranges of the settings of a process that calls targets directly. */
+internal fun checkDirect(
+    settings: DirectSettings,
+    faults: FaultCollector,
+) {
+    checkHost(settings.host, faults)
+    checkSocketAddress("callerAddress", settings.callerAddress, faults)
+    checkSocketAddress("readyAddress", settings.readyAddress, faults)
+    if (settings.role == HostRole.ENTRY && settings.callerAddress == null) {
+        faults.missingField("callerAddress")
+    }
+    if (settings.role == HostRole.SIDECAR) {
+        faults.outOfRange("role", "\"sidecar\"", "\"entry\" or \"batch\"")
+    }
+    faults.inRange("maximumValueBytes", settings.maximumValueBytes, VALUE_BYTES)
+}
+
+private fun checkSocketAddress(
+    path: String,
+    address: String?,
+    faults: FaultCollector,
+) {
+    if (address != null && !SOCKET_ADDRESS.matches(address)) {
+        faults.outOfRange(path, "\"$address\"", "an IP number and a port")
+    }
+}
+
 private fun checkHost(
     host: HostSettings,
     faults: FaultCollector,
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/configuration/SettingsReader.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/configuration/SettingsReader.kt
@@ -9,6 +9,7 @@
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.json.Json
 import tanagerlane.inventory.Inventory
+import tanagerlane.settings.DirectSettings
 import tanagerlane.settings.EntrySettings
 import tanagerlane.settings.SidecarSettings
 
@@ -51,6 +52,9 @@
         /** Reads settings of entries. */
         public fun entry(): SettingsReader<EntrySettings> = SettingsReader(EntrySettings.serializer(), ::checkEntry)
 
+        /** Reads settings of processes that call targets directly. */
+        public fun direct(): SettingsReader<DirectSettings> = SettingsReader(DirectSettings.serializer(), ::checkDirect)
+
         /** Reads settings of sidecars. */
         public fun sidecar(): SettingsReader<SidecarSettings> =
             SettingsReader(SidecarSettings.serializer(), ::checkSidecar)
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/idempotency/ClaimShard.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/idempotency/ClaimShard.kt
@@ -91,7 +91,7 @@
         isCalling = false
         isRead = isRead && failure is StoreFailure.Unavailable
         return when (failure) {
-            is StoreFailure.Conflict, is StoreFailure.OutcomeUnknown -> emptyList()
+            is StoreFailure.Conflict, is StoreFailure.OutcomeUnknown, StoreFailure.HistoryGone -> emptyList()
             is StoreFailure.NotFound -> emptyList<DecidedClaim>().also { adopt(emptyList(), null) }
             is StoreFailure.TooLarge -> refuseWaiting(RefusalReason.OVERLOADED)
             is StoreFailure.Unavailable -> refuseWaiting(RefusalReason.STORE_UNAVAILABLE)
--- /dev/null
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/joblog/JobLog.kt
@@ -0,0 +1,49 @@
+package tanagerlane.joblog
+
+import tanagerlane.model.RequestId
+import kotlin.time.Instant
+
+/**
+ * A job and the results that are listed for it.
+ *
+ * Results are appended in pages, each created under the next number. Whoever creates a page has seen all pages before
+ * it, so no item is listed twice, however many processes believe that they run the job.
+ *
+ * @property listed results in the order of their positions
+ * @property pages number of pages that hold [listed]
+ * @property isEnded whether the client ended the job
+ */
+public data class JobLog(
+    val card: JobCard,
+    val items: List<RawItem>,
+    val listed: List<ListedResult> = emptyList(),
+    val pages: Int = 0,
+    val isEnded: Boolean = false,
+) {
+    private val listedIds: Set<RequestId> = listed.mapTo(HashSet()) { it.id }
+
+    /** Items without a listed result. */
+    public val pending: List<RawItem> get() = items.filter { it.id !in listedIds }
+
+    /** Tokens of the items without a listed result. */
+    public val pendingTokens: Long get() = if (isEnded) 0 else pending.sumOf { it.tokens }
+
+    /** Whether nothing is left to run. */
+    public val isFinished: Boolean get() = isEnded || listed.size == items.size
+
+    /** Returns this log with the [results] of its next page. */
+    public fun withPage(results: List<ListedResult>): JobLog = copy(listed = listed + results, pages = pages + 1)
+
+    /** Returns this log with [pages] as all its pages. */
+    public fun reread(pages: List<List<ListedResult>>): JobLog =
+        pages.fold(copy(listed = emptyList(), pages = 0)) { log, page -> log.withPage(page) }
+
+    /** Returns those of [results] that may be listed on the next page. */
+    public fun listable(results: Collection<ListedResult>): List<ListedResult> =
+        results.filter { it.id !in listedIds }.distinctBy { it.id }
+
+    /** Whether items without a result may be given up at [now]. */
+    public fun mayAbandon(now: Instant): Boolean = now >= card.keepUntil
+
+    override fun toString(): String = "JobLog(job=${card.job}, items=${items.size}, listed=${listed.size})"
+}
--- /dev/null
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/limits/SharedRates.kt
@@ -0,0 +1,103 @@
+package tanagerlane.limits
+
+import tanagerlane.message.WorkspaceAdmissions
+import tanagerlane.model.HostName
+import tanagerlane.model.WorkspaceName
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
+import kotlin.time.Instant
+
+/**
+ * Keeps the rates of workspaces across entries that tell each other how much they have admitted.
+ *
+ * Every entry charges all admissions that it hears of to a bucket of its own, so an entry may use the whole rate
+ * while the others are idle. Entries that are not heard are taken to use their even share of the rate, and use no
+ * more themselves once they hear nobody; so the sum stays within the rate while entries are cut from each other.
+ * Safe for use by several threads.
+ */
+public class SharedRates {
+    private val lock = Any()
+    private var rates: Map<WorkspaceName, Rate> = emptyMap()
+    private val buckets = HashMap<WorkspaceName, Bucket>()
+    private val admitted = HashMap<WorkspaceName, Long>()
+    private val heard = HashMap<HostName, Map<WorkspaceName, Long>>()
+
+    /** Puts [rates] in force; a workspace that has none is not limited. */
+    public fun configure(rates: Map<WorkspaceName, Rate>) {
+        synchronized(lock) {
+            this.rates = rates
+            buckets.keys.retainAll(rates.keys)
+        }
+    }
+
+    /**
+     * Admits one request of [workspace], or returns the time after which one may be admitted.
+     *
+     * @return null when the request is admitted
+     */
+    public fun admit(
+        workspace: WorkspaceName,
+        fleet: EntryFleet,
+        now: Instant,
+    ): Duration? =
+        synchronized(lock) {
+            val rate = rates[workspace] ?: return null
+            val bucket = bucketOf(workspace, rate, fleet, now)
+            bucket.refill(rate, fleet, now)
+            if (bucket.level >= 1.0) {
+                bucket.level -= 1.0
+                admitted.merge(workspace, 1, Long::plus)
+                return null
+            }
+            val perSecond = rate.perSecond * fleet.share
+            if (perSecond <= 0.0) LONGEST_WAIT else minOf(((1.0 - bucket.level) / perSecond).seconds, LONGEST_WAIT)
+        }
+
+    /** Returns what this entry has admitted since its start. */
+    public fun report(): List<WorkspaceAdmissions> =
+        synchronized(lock) { admitted.map { WorkspaceAdmissions(it.key, it.value) } }
+
+    /** Charges what [host] has admitted since its last report; [isNew] tells that it has started anew. */
+    public fun received(
+        host: HostName,
+        admissions: List<WorkspaceAdmissions>,
+        isNew: Boolean,
+    ) {
+        synchronized(lock) {
+            val before = if (isNew) emptyMap() else heard[host].orEmpty()
+            for (admission in admissions) {
+                val fresh = admission.admitted - (before[admission.workspace] ?: 0)
+                buckets[admission.workspace]?.let { it.level -= fresh.coerceAtLeast(0) }
+            }
+            heard[host] = admissions.associate { it.workspace to it.admitted }
+        }
+    }
+
+    private fun bucketOf(
+        workspace: WorkspaceName,
+        rate: Rate,
+        fleet: EntryFleet,
+        now: Instant,
+    ): Bucket = buckets.getOrPut(workspace) { Bucket(level = rate.burst.toDouble() / fleet.known, refilledAt = now) }
+
+    private class Bucket(
+        var level: Double,
+        var refilledAt: Instant,
+    ) {
+        fun refill(
+            rate: Rate,
+            fleet: EntryFleet,
+            now: Instant,
+        ) {
+            val capacity = (rate.burst * fleet.share).coerceAtLeast(1.0)
+            val elapsed = (now - refilledAt).toDouble(DurationUnit.SECONDS).coerceAtLeast(0.0)
+            refilledAt = maxOf(refilledAt, now)
+            level = (level + elapsed * rate.perSecond * fleet.share).coerceIn(-capacity, capacity)
+        }
+    }
+
+    private companion object {
+        val LONGEST_WAIT = 5.seconds
+    }
+}
--- /dev/null
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/serving/ServingConfiguration.kt
@@ -0,0 +1,36 @@
+package tanagerlane.serving
+
+import tanagerlane.model.Revision
+import tanagerlane.model.WorkspaceName
+
+/**
+ * Everything that an operator has set, as of one revision.
+ *
+ * @property keys workspaces by the keys that callers present
+ */
+public data class ServingConfiguration(
+    val revision: Revision,
+    val routes: List<ServingRoute>,
+    val workspaces: Map<WorkspaceName, ServingWorkspace>,
+    val keys: Map<String, WorkspaceName>,
+    val limits: CallerLimits,
+) {
+    private val routesByHost: Map<String, List<ServingRoute>> =
+        routes.groupBy { it.host }.mapValues { (_, routes) -> routes.sortedByDescending { it.pathPrefix.length } }
+
+    /** Whether requests need a key on routes that are not open. */
+    public val needsKeys: Boolean get() = workspaces.isNotEmpty()
+
+    /** Returns the route with the longest prefix of [path] among those of [host], or null. */
+    public fun routeFor(
+        host: String,
+        path: String,
+    ): ServingRoute? = routesByHost[host]?.firstOrNull { path.startsWith(it.pathPrefix) }
+
+    /** Returns the batch routes of [host]. */
+    public fun batchRoutesOf(host: String): List<ServingRoute> =
+        routesByHost[host].orEmpty().filter { it.kind == RouteKind.BATCH }
+
+    override fun toString(): String =
+        "ServingConfiguration(revision=$revision, routes=${routes.size}, workspaces=${workspaces.size})"
+}
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/store/StoreFailure.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/store/StoreFailure.kt
@@ -19,6 +19,9 @@
         val maximumBytes: Int,
     ) : StoreFailure
 
+    /** The changes since the version of a watch are no longer kept; the objects have to be listed anew. */
+    public data object HistoryGone : StoreFailure
+
     /** The call certainly took no effect; it may be tried again. */
     public data class Unavailable(
         val cause: String,
--- /dev/null
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/streams/EventAssembler.kt
@@ -0,0 +1,56 @@
+package tanagerlane.streams
+
+import tanagerlane.model.Payload
+import java.io.ByteArrayOutputStream
+
+/**
+ * Splits a stream into whole events, whatever pieces its bytes come in; used by one thread at a time.
+ *
+ * An event that a broken connection cuts short never comes out, so that a stream may go on after the last whole one.
+ */
+public class EventAssembler {
+    private val event = ByteArrayOutputStream()
+    private var isLineEmpty = true
+
+    /** Whether bytes of an unfinished event are held. */
+    public val isInsideEvent: Boolean get() = event.size() > 0
+
+    /** Takes in [bytes] and returns the events that they complete. */
+    public fun accept(bytes: ByteArray): List<StreamEvent> {
+        val events = ArrayList<StreamEvent>()
+        for (byte in bytes) {
+            event.write(byte.toInt())
+            if (byte == LINE_FEED) {
+                if (isLineEmpty) {
+                    events.add(eventOf(event.toByteArray()))
+                    event.reset()
+                }
+                isLineEmpty = true
+            } else if (byte != CARRIAGE_RETURN) {
+                isLineEmpty = false
+            }
+        }
+        return events
+    }
+
+    private fun eventOf(bytes: ByteArray): StreamEvent {
+        val lines = bytes.decodeToString().lineSequence().toList()
+        return StreamEvent(
+            id = lines.lastOrNull { it.startsWith(ID) }?.let { valueOf(it, ID).toLongOrNull() },
+            data = lines.filter { it.startsWith(DATA) }.joinToString("\n") { valueOf(it, DATA) },
+            bytes = Payload.of(bytes),
+        )
+    }
+
+    private fun valueOf(
+        line: String,
+        field: String,
+    ): String = line.removePrefix(field).removePrefix(" ").removeSuffix("\r")
+
+    private companion object {
+        const val LINE_FEED = '\n'.code.toByte()
+        const val CARRIAGE_RETURN = '\r'.code.toByte()
+        const val ID = "id:"
+        const val DATA = "data:"
+    }
+}
--- /dev/null
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerRefusal.kt
@@ -0,0 +1,43 @@
+package tanagerlane.direct
+
+import tanagerlane.model.RefusalReason
+import tanagerlane.model.RunState
+
+/**
+ * Why a caller gets no answer of a target.
+ *
+ * @property runState whether the request has run; a refusal with a status that promises "not run" is always true
+ */
+internal data class CallerRefusal(
+    val reason: RefusalReason,
+    val runState: RunState,
+) {
+    /** Status that says as much as is certain. */
+    val status: Int
+        get() =
+            when (runState) {
+                RunState.UNKNOWN -> if (reason == RefusalReason.DEADLINE_EXCEEDED) GATEWAY_TIMEOUT else BAD_GATEWAY
+                RunState.NOT_RUN -> notRunStatus()
+            }
+
+    private fun notRunStatus(): Int =
+        when (reason) {
+            RefusalReason.MALFORMED -> BAD_REQUEST
+            RefusalReason.NO_KEY -> UNAUTHORIZED
+            RefusalReason.FORBIDDEN, RefusalReason.NOT_FOUND -> NOT_FOUND
+            RefusalReason.TOO_LARGE -> TOO_LARGE
+            RefusalReason.RATE_LIMITED -> TOO_MANY_REQUESTS
+            else -> UNAVAILABLE
+        }
+
+    private companion object {
+        const val BAD_REQUEST = 400
+        const val UNAUTHORIZED = 401
+        const val NOT_FOUND = 404
+        const val TOO_LARGE = 413
+        const val TOO_MANY_REQUESTS = 429
+        const val BAD_GATEWAY = 502
+        const val UNAVAILABLE = 503
+        const val GATEWAY_TIMEOUT = 504
+    }
+}
--- /dev/null
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerState.kt
@@ -0,0 +1,21 @@
+package tanagerlane.direct
+
+import tanagerlane.limits.EntryFleet
+import tanagerlane.serving.ServingConfiguration
+
+/**
+ * What the service of callers needs to know of its process.
+ *
+ * @property configuration configuration in force, or null before the first
+ * @property isCurrent whether the configuration is known to be the newest
+ * @property entries how much of the fleet of entries is heard
+ * @property isReady whether new callers should be sent here
+ * @property isStopping whether the process is about to end
+ */
+internal data class CallerState(
+    val configuration: () -> ServingConfiguration?,
+    val isCurrent: () -> Boolean,
+    val entries: () -> EntryFleet,
+    val isReady: () -> Boolean,
+    val isStopping: () -> Boolean,
+)
--- /dev/null
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
@@ -0,0 +1,386 @@
+package tanagerlane.direct
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.map
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import io.vertx.core.Vertx
+import io.vertx.kotlin.coroutines.dispatcher
+import kotlinx.coroutines.CoroutineExceptionHandler
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeoutOrNull
+import org.slf4j.LoggerFactory
+import tanagerlane.limits.EntryFleet
+import tanagerlane.limits.SharedRates
+import tanagerlane.membership.Member
+import tanagerlane.message.Hello
+import tanagerlane.message.HostRole
+import tanagerlane.message.PlaceReport
+import tanagerlane.message.ResultsQuery
+import tanagerlane.message.ResultsReply
+import tanagerlane.message.ViewObject
+import tanagerlane.message.ViewRequest
+import tanagerlane.message.ViewUpdate
+import tanagerlane.message.WireMessage
+import tanagerlane.model.HostName
+import tanagerlane.model.Incarnation
+import tanagerlane.places.DirectTarget
+import tanagerlane.places.PlaceBook
+import tanagerlane.places.TargetList
+import tanagerlane.runtime.MonotonicClock
+import tanagerlane.runtime.OperatorServer
+import tanagerlane.runtime.StoreCall
+import tanagerlane.serving.ServingConfiguration
+import tanagerlane.settings.DirectSettings
+import tanagerlane.views.ObjectView
+import tanagerlane.wire.WireAddress
+import tanagerlane.wire.WireEndpoint
+import tanagerlane.wire.WireFault
+import kotlin.time.Clock
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * A process that calls targets directly: an entry for callers, or a runner of batch jobs.
+ *
+ * @param deploymentOf makes the deployment; takes a function to call for each call of the object API
+ */
+public class DirectDaemon(
+    private val settings: DirectSettings,
+    deploymentOf: (count: (StoreCall) -> Unit) -> Deployment,
+    private val vertx: Vertx,
+) {
+    private val clock = MonotonicClock()
+    private val incarnation = Incarnation(Clock.System.now().toEpochMilliseconds())
+    private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    private val metrics = DirectMetrics(registry)
+    private val deployment = deploymentOf { metrics.storeCalls(it).increment() }
+    private val scope = CoroutineScope(SupervisorJob() + vertx.dispatcher() + failureLog())
+    private val endpoint = WireEndpoint(hello(), scope, now = clock::now)
+    private val fleet = Fleet(hello(), scope, endpoint, clock::now, ::receive, ::silent)
+    private val places = PlaceBook(settings.host.name, settings.host.failureDomain)
+    private val rates = SharedRates()
+    private val headers = RequestHeaders(deployment.headers)
+    private val client = TargetClient(vertx, deployment.headers.requestId, clock::now)
+    private val storage = JobStorage(deployment.store, settings.maximumValueBytes / VALUE_OVERHEAD)
+    private val board = JobBoard(storage)
+    private val results = ResultsClient(fleet)
+    private val members = Membership(deployment.store, fleet, clock::now)
+    private var targets = TargetList()
+    private var configuration: ServingConfiguration? = null
+    private var isLeaving = false
+    private var sequence = 0L
+    private var lastSequences = HashMap<HostName, PlaceReport>()
+    private val reportWanted = Channel<Unit>(Channel.CONFLATED)
+
+    private val configurationKeeper = keeper(deployment.configuration.kind, CONFIGURATION_TIMES, ::takeConfiguration)
+    private val targetKeeper = keeper(deployment.targets.kind, TARGET_TIMES, ::takeTargets)
+    private val jobKeeper = keeper(JobStorage.JOBS_KIND, JOB_TIMES, ::takeJobs)
+    private val memberKeeper = keeper(Membership.KIND, MEMBER_TIMES, members::update)
+    private val removalKeeper = keeper(deployment.removals.kind, JOB_TIMES, ::takeRemovals)
+    private val keepers =
+        listOf(configurationKeeper, targetKeeper, jobKeeper, memberKeeper, removalKeeper)
+            .associateBy { it.view.kind }
+
+    private val runner =
+        JobRunner(
+            scope = scope,
+            fleet = fleet,
+            storage = storage,
+            board = board,
+            places = places,
+            items = ItemRunner(client, headers, deployment.headers),
+            metrics = metrics,
+            configuration = { configuration },
+            isCurrent = ::isCurrent,
+            now = clock::now,
+            wallClock = Clock.System::now,
+            onPlacesChanged = ::wantReport,
+        )
+    private val online =
+        OnlineHandler(places, client, headers, deployment.headers, metrics, clock::now, ::wantReport)
+    private val desk = JobDesk(fleet, storage, board, results, deployment.jobs, Clock.System::now)
+    private val callers =
+        CallerService(
+            vertx = vertx,
+            scope = scope,
+            deployment = deployment,
+            online = online,
+            desk = desk,
+            rates = rates,
+            metrics = metrics,
+            state =
+                CallerState(
+                    configuration = { configuration },
+                    isCurrent = ::isCurrent,
+                    entries = ::entryFleet,
+                    isReady = { !isLeaving && configuration != null && targets.listed.isNotEmpty() },
+                    isStopping = { isLeaving },
+                ),
+            now = clock::now,
+        )
+    private val operators = OperatorServer(vertx, registry, ready = { !isLeaving }, status = ::status)
+
+    private val isRunner: Boolean get() = settings.role == HostRole.BATCH
+
+    /** Starts to serve; returns the address for other processes. */
+    public suspend fun start(): Result<WireAddress, WireFault> =
+        withContext(scope.coroutineContext) {
+            val address = WireAddress(settings.host.address, settings.host.wirePort)
+            endpoint.listen(address, fleet::serve).map { bound ->
+                settings.callerAddress?.let { callers.listen(it, settings.readyAddress) }
+                launchLoops(bound)
+                operators.start(settings.host.address, settings.host.operatorPort)
+                logger.info(
+                    "started host={} role={} incarnation={} wire={}",
+                    settings.host.name,
+                    settings.role,
+                    incarnation,
+                    bound,
+                )
+                bound
+            }
+        }
+
+    /** Stops without cutting a request, as far as the time to stop allows. */
+    public suspend fun drainAndStop() {
+        withContext(scope.coroutineContext) {
+            logger.info("stopping open_requests={}", callers.openRequests)
+            isLeaving = true
+            runner.isLeaving = true
+            runner.wake()
+            wantReport()
+            val deadline = clock.now() + settings.stopTime - STOP_MARGIN
+            val noticed = clock.now() + if (isRunner) 0.seconds else BALANCER_NOTICE
+            while (clock.now() < deadline && (clock.now() < noticed || callers.openRequests > 0 || !runner.isEmpty)) {
+                delay(STOP_INTERVAL)
+            }
+            callers.closeConnections()
+            withTimeoutOrNull(STOP_MARGIN / 2) { members.remove() }
+            logger.info("stopped open_requests={} jobs_released={}", callers.openRequests, runner.isEmpty)
+        }
+    }
+
+    private fun launchLoops(bound: WireAddress) {
+        keepers.values.forEach { keeper -> scope.launch { keeper.run() } }
+        scope.launch { members.run(memberOf(bound)) }
+        scope.launch { reportLoop() }
+        scope.launch { tickLoop() }
+        if (isRunner) {
+            scope.launch { runner.run() }
+        }
+    }
+
+    private suspend fun tickLoop() {
+        while (true) {
+            delay(TICK)
+            fleet.tick()
+            updatePlaces()
+        }
+    }
+
+    /** Reports what this process has at the targets, soon after each change and at least at intervals. */
+    private suspend fun reportLoop() {
+        while (true) {
+            withTimeoutOrNull(REPORT_INTERVAL) { reportWanted.receive() }
+            fleet.broadcast(
+                PlaceReport(
+                    incarnation = incarnation,
+                    sequence = ++sequence,
+                    places = places.report(),
+                    admissions = rates.report(),
+                    backlog = if (isRunner) runner.backlog() else emptyList(),
+                    leaving = isLeaving,
+                ),
+            )
+            delay(REPORT_PAUSE)
+        }
+    }
+
+    private fun wantReport() {
+        reportWanted.trySend(Unit)
+    }
+
+    private fun receive(
+        from: HostName,
+        message: WireMessage,
+    ) {
+        when (message) {
+            is PlaceReport -> receiveReport(from, message)
+            is ViewUpdate -> keepers[message.kind]?.received(from, message)
+            is ViewRequest -> keepers[message.kind]?.requested(from)
+            is ResultsQuery -> runner.answer(from, message)
+            is ResultsReply -> results.received(message)
+            else -> logger.warn("unexpected message from={} type={}", from, message::class.simpleName)
+        }
+    }
+
+    private fun receiveReport(
+        from: HostName,
+        report: PlaceReport,
+    ) {
+        val last = lastSequences[from]
+        val isNew = last == null || last.incarnation.number < report.incarnation.number
+        val isOld = last != null && !isNew && (report.incarnation != last.incarnation || report.sequence <= last.sequence)
+        if (isOld) {
+            return
+        }
+        lastSequences[from] = report
+        places.received(from, report, clock.now())
+        rates.received(from, report.admissions, isNew)
+        board.received(from, report.backlog)
+        fleet.noteLeaving(from, report.leaving)
+        if (isRunner) {
+            runner.yieldPlaces()
+            runner.wake()
+        }
+    }
+
+    private fun silent(host: HostName) {
+        board.forget(host)
+        runner.wake()
+    }
+
+    private fun takeConfiguration(view: ObjectView) {
+        val decoded = view.objects.values.mapNotNull { stored -> decodedOrNull(deployment.configuration, stored) }
+        val newest = decoded.maxByOrNull { it.revision.number } ?: return
+        if (newest.revision.number <= (configuration?.revision?.number ?: -1)) {
+            return
+        }
+        logger.info("configuration in force revision={} version={} before={}", newest.revision, view.at, configuration?.revision)
+        configuration = newest
+        rates.configure(newest.workspaces.mapNotNull { (name, workspace) -> workspace.rate?.let { name to it } }.toMap())
+        runner.wake()
+    }
+
+    private fun takeTargets(view: ObjectView) {
+        val decoded = view.objects.values.mapNotNull { stored -> decodedOrNull(deployment.targets, stored) }
+        val updated = targets.updated(decoded, clock.now())
+        if (updated.listed != targets.listed) {
+            logChanges(updated.listed.values, view)
+        }
+        targets = updated
+        updatePlaces()
+    }
+
+    private fun logChanges(
+        listed: Collection<DirectTarget>,
+        view: ObjectView,
+    ) {
+        val before = targets.listed.values.toSet()
+        val added = listed.filter { it !in before }.joinToString(",") { "${it.name}${if (it.leaving) "(leaving)" else ""}" }
+        val gone = (targets.listed.keys - listed.map { it.name }.toSet()).joinToString(",")
+        logger.info("targets changed version={} changed=[{}] gone=[{}] listed={}", view.at, added, gone, listed.size)
+    }
+
+    private fun updatePlaces() {
+        val usable = targets.usable(clock.now())
+        places.configure(usable)
+        client.keepOnly(usable.mapTo(HashSet()) { it.address })
+    }
+
+    private fun takeJobs(view: ObjectView) {
+        board.update(view)
+        runner.wake()
+    }
+
+    private fun takeRemovals(view: ObjectView) {
+        val own =
+            view.objects.values
+                .mapNotNull { decodedOrNull(deployment.removals, it) }
+                .firstOrNull { it.host == settings.host.name && !it.isDone } ?: return
+        if (!runner.isLeaving) {
+            logger.info("host is to be emptied host={} version={}", own.host, view.at)
+            isLeaving = true
+            runner.isLeaving = true
+            runner.wake()
+            wantReport()
+            scope.launch { emptyHost() }
+        }
+    }
+
+    private suspend fun emptyHost() {
+        while (!runner.isEmpty) {
+            delay(STOP_INTERVAL)
+        }
+        while (!deployment.reportRemoved(settings.host.name)) {
+            delay(REMOVAL_RETRY)
+        }
+        logger.info("host is empty host={}", settings.host.name)
+    }
+
+    private fun <T> decodedOrNull(
+        source: ViewSource<T>,
+        stored: ViewObject,
+    ): T? =
+        source.decode(stored).getOrElse { fault ->
+            logger.debug("object not read kind={} name={} version={} cause={}", source.kind, fault.name, stored.version, fault.reason)
+            null
+        }
+
+    private fun keeper(
+        kind: String,
+        times: ViewTimes,
+        onChange: (ObjectView) -> Unit,
+    ) = ViewKeeper(kind, deployment.store, fleet, times, clock::now, onChange)
+
+    /** Whether the configuration was known to be the newest a moment ago. */
+    private fun isCurrent(): Boolean = configurationKeeper.age()?.let { it <= settings.configurationBound } ?: false
+
+    private fun entryFleet(): EntryFleet {
+        val entries = fleet.members.filter { it.role == HostRole.ENTRY }.map { it.host }.toSet() + settings.host.name
+        val reachable = fleet.reachable
+        return EntryFleet(known = entries.size, heard = entries.count { it == settings.host.name || it in reachable })
+    }
+
+    private fun memberOf(bound: WireAddress): Member =
+        Member(
+            host = settings.host.name,
+            role = settings.role,
+            incarnation = incarnation,
+            failureDomain = settings.host.failureDomain,
+            address = bound.toString(),
+        )
+
+    private fun hello(): Hello =
+        Hello(
+            protocolVersion = WireEndpoint.PROTOCOL_VERSION,
+            host = settings.host.name,
+            role = settings.role,
+            incarnation = incarnation,
+            failureDomain = settings.host.failureDomain,
+        )
+
+    private fun failureLog() =
+        CoroutineExceptionHandler { _, failure -> logger.error("uncaught failure", failure) }
+
+    private fun status(): String =
+        """{"role":"${settings.role.name.lowercase()}","host":"${settings.host.name}",""" +
+            """"revision":${configuration?.revision?.number ?: 0},"targets":${targets.listed.size},""" +
+            """"reachable":${fleet.reachable.size},"leaving":$isLeaving}"""
+
+    private companion object {
+        /** Bytes of the object API for each byte of a part, since values travel as text. */
+        const val VALUE_OVERHEAD = 2
+        val CONFIGURATION_TIMES = ViewTimes(wait = 1.seconds, pause = 50.milliseconds, patience = 1400.milliseconds)
+        val TARGET_TIMES = ViewTimes(wait = 1.seconds, pause = 400.milliseconds, patience = 1000.milliseconds)
+        val JOB_TIMES = ViewTimes(wait = 1.seconds, pause = 50.milliseconds, patience = 1500.milliseconds)
+        val MEMBER_TIMES = ViewTimes(wait = 5.seconds, pause = 200.milliseconds, patience = 6.seconds)
+        val TICK = 100.milliseconds
+        val REPORT_INTERVAL = 150.milliseconds
+        val REPORT_PAUSE = 5.milliseconds
+
+        /** Time in which the balancer sees that this process takes no new callers. */
+        val BALANCER_NOTICE = 3.seconds
+        val STOP_MARGIN = 800.milliseconds
+        val STOP_INTERVAL = 20.milliseconds
+        val REMOVAL_RETRY = 300.milliseconds
+        val logger = LoggerFactory.getLogger(DirectDaemon::class.java)
+    }
+}
--- /dev/null
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectMetrics.kt
@@ -0,0 +1,55 @@
+package tanagerlane.direct
+
+import io.micrometer.core.instrument.Counter
+import io.micrometer.core.instrument.MeterRegistry
+import io.micrometer.core.instrument.Timer
+import tanagerlane.model.RefusalReason
+import tanagerlane.runtime.StoreCall
+import tanagerlane.serving.AttemptEnd
+import tanagerlane.serving.RouteKind
+import kotlin.time.Duration
+import kotlin.time.toJavaDuration
+
+/** Counters and histograms of a process that calls targets directly. */
+internal class DirectMetrics(
+    registry: MeterRegistry,
+) {
+    private val attempts =
+        AttemptEnd.entries.associateWith {
+            Counter.builder("tanagerlane.attempts.ended").tag("end", it.name.lowercase()).register(registry)
+        }
+    private val refusals =
+        RefusalReason.entries.associateWith {
+            Counter.builder("tanagerlane.requests.refused").tag("reason", it.name.lowercase()).register(registry)
+        }
+    private val answers =
+        RouteKind.entries.associateWith {
+            Timer
+                .builder("tanagerlane.requests.answered")
+                .tag("kind", it.name.lowercase())
+                .publishPercentileHistogram()
+                .register(registry)
+        }
+
+    private val storeCalls =
+        StoreCall.entries.associateWith {
+            Counter.builder("tanagerlane.store.calls").tag("call", it.name.lowercase()).register(registry)
+        }
+
+    /** Items that were stopped so that callers find places. */
+    val yielded: Counter = Counter.builder("tanagerlane.items.yielded").register(registry)
+
+    /** Results that were listed. */
+    val listed: Counter = Counter.builder("tanagerlane.items.listed").register(registry)
+
+    fun attempts(end: AttemptEnd): Counter = attempts.getValue(end)
+
+    fun storeCalls(call: StoreCall): Counter = storeCalls.getValue(call)
+
+    fun refused(reason: RefusalReason): Counter = refusals.getValue(reason)
+
+    fun answered(
+        kind: RouteKind,
+        age: Duration,
+    ): Unit = answers.getValue(kind).record(age.toJavaDuration())
+}
--- /dev/null
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/Fleet.kt
@@ -0,0 +1,114 @@
+package tanagerlane.direct
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import org.slf4j.LoggerFactory
+import tanagerlane.membership.Member
+import tanagerlane.message.Hello
+import tanagerlane.message.HostRole
+import tanagerlane.message.WireMessage
+import tanagerlane.model.HostName
+import tanagerlane.model.Incarnation
+import tanagerlane.wire.MemberDirectory
+import tanagerlane.wire.PeerConnections
+import tanagerlane.wire.WireConnection
+import tanagerlane.wire.WireEndpoint
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
+
+/**
+ * The other processes, as far as this one can reach them.
+ *
+ * @param onMessage takes each message of another process
+ * @param onSilent called when a process that was reachable has fallen silent
+ */
+internal class Fleet(
+    private val hello: Hello,
+    private val scope: CoroutineScope,
+    private val endpoint: WireEndpoint,
+    private val now: () -> Instant,
+    private val onMessage: (HostName, WireMessage) -> Unit,
+    private val onSilent: (HostName) -> Unit,
+) {
+    private val directory = MemberDirectory(hello.host)
+    private val heardAt = HashMap<HostName, Instant>()
+    private val leaving = HashSet<HostName>()
+    private val peers =
+        PeerConnections(
+            endpoint = endpoint,
+            scope = scope,
+            addressOf = directory::addressOf,
+            onMessage = { from, message -> scope.launch { received(from, message) } },
+            now = now,
+        )
+
+    val own: HostName get() = hello.host
+
+    /** Members that have registered, this process included. */
+    val members: Collection<Member> get() = directory.members
+
+    /** Other processes that were heard of lately. */
+    val reachable: Set<HostName>
+        get() = heardAt.filterValues { now() - it <= SILENCE }.keys
+
+    /** Serves a connection that another process has made. */
+    suspend fun serve(connection: WireConnection): Unit = peers.serve(connection)
+
+    fun update(members: Collection<Member>) {
+        directory.update(members)
+    }
+
+    fun send(
+        to: HostName,
+        message: WireMessage,
+    ): Unit = peers.send(to, message)
+
+    /** Sends [message] to all that are registered. */
+    fun broadcast(message: WireMessage) {
+        members.forEach { if (it.host != own) peers.send(it.host, message) }
+    }
+
+    /** Processes that run jobs and can be reached, this one included where [includeOwn]. */
+    fun runners(includeOwn: Boolean): Set<HostName> {
+        val others = members.filter { it.role == HostRole.BATCH && it.host in reachable && it.host !in leaving }
+        return others.mapTo(HashSet()) { it.host } + if (includeOwn) setOf(own) else emptySet()
+    }
+
+    fun incarnationOf(host: HostName): Incarnation? = directory.members.firstOrNull { it.host == host }?.incarnation
+
+    /** Notes whether [host] has said that it is leaving. */
+    fun noteLeaving(
+        host: HostName,
+        isLeaving: Boolean,
+    ) {
+        if (isLeaving) leaving.add(host) else leaving.remove(host)
+    }
+
+    /** Notices processes that have fallen silent. */
+    fun tick() {
+        val silent = heardAt.filterValues { now() - it > SILENCE }.keys.toList()
+        for (host in silent) {
+            heardAt.remove(host)
+            leaving.remove(host)
+            logger.info("peer lost host={} reachable={}", host, heardAt.size)
+            onSilent(host)
+        }
+    }
+
+    private fun received(
+        from: HostName,
+        message: WireMessage,
+    ) {
+        if (heardAt.put(from, now()) == null) {
+            logger.info("peer heard host={} reachable={}", from, heardAt.size)
+        }
+        onMessage(from, message)
+    }
+
+    internal companion object {
+        /** Time without a message after which a process counts as lost. */
+        val SILENCE = 700.milliseconds
+        private val logger = LoggerFactory.getLogger(Fleet::class.java)
+    }
+}
+
--- /dev/null
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobBoard.kt
@@ -0,0 +1,98 @@
+package tanagerlane.direct
+
+import tanagerlane.joblog.JobCard
+import tanagerlane.message.JobBacklog
+import tanagerlane.model.HostName
+import tanagerlane.model.JobId
+import tanagerlane.model.WorkspaceName
+import tanagerlane.routing.RendezvousHash
+import tanagerlane.views.ObjectView
+import kotlin.time.Instant
+
+/** The jobs that are stored, and what their runners report of them. */
+internal class JobBoard(
+    private val storage: JobStorage,
+) {
+    private val cards = HashMap<JobId, JobCard>()
+    private val backlogs = HashMap<HostName, Map<JobId, Long>>()
+    private val finished = HashSet<JobId>()
+
+    var ended: Set<JobId> = emptySet()
+        private set
+
+    /** Whether the stored jobs have been listed. */
+    var isComplete = false
+        private set
+
+    /** Takes in the stored jobs. */
+    fun update(view: ObjectView) {
+        isComplete = view.isComplete
+        val present = HashSet<JobId>()
+        for ((name, stored) in view.objects) {
+            val value = stored.value ?: continue
+            if (name.startsWith(JobStorage.CARD_PREFIX)) {
+                val job = JobId(name.removePrefix(JobStorage.CARD_PREFIX))
+                present += job
+                if (job !in cards) {
+                    storage.cardOf(value)?.let { cards[job] = it }
+                }
+            }
+        }
+        cards.keys.retainAll(present)
+        finished.retainAll(present)
+        ended =
+            view.objects.keys
+                .filter { it.startsWith(JobStorage.END_PREFIX) }
+                .mapTo(HashSet()) { JobId(it.removePrefix(JobStorage.END_PREFIX)) }
+    }
+
+    fun card(job: JobId): JobCard? = cards[job]
+
+    /** Adds a job that this process has stored or read itself. */
+    fun add(card: JobCard) {
+        cards[card.job] = card
+    }
+
+    /** Jobs that may have items to run. */
+    fun open(): List<JobCard> = cards.values.filter { it.job !in ended && it.job !in finished }
+
+    /** Notes that nothing of [job] is left. */
+    fun noteFinished(job: JobId) {
+        finished += job
+    }
+
+    /** Takes in the jobs that [host] runs. */
+    fun received(
+        host: HostName,
+        backlog: List<JobBacklog>,
+    ) {
+        val jobs = backlog.associate { it.job to it.tokens }
+        finished += jobs.filterValues { it == 0L }.keys
+        backlogs[host] = jobs
+    }
+
+    fun forget(host: HostName) {
+        backlogs.remove(host)
+    }
+
+    /** Whether another process reports that it runs [job]. */
+    fun isRunElsewhere(job: JobId): Boolean = backlogs.values.any { (it[job] ?: 0) > 0 }
+
+    /** Tokens of [workspace] that wait on [route]. */
+    fun waitingTokens(
+        workspace: WorkspaceName?,
+        route: String,
+        now: Instant,
+    ): Long =
+        open()
+            .filter { it.workspace == workspace && it.route == route && it.keepUntil > now }
+            .sumOf { card -> backlogs.values.mapNotNull { it[card.job] }.maxOrNull() ?: card.tokens }
+
+    internal companion object {
+        /** Returns the process among [runners] that runs [job], or null when there is none. */
+        fun homeOf(
+            job: JobId,
+            runners: Collection<HostName>,
+        ): HostName? = RendezvousHash.best(job.text, runners) { it.text }
+    }
+}
--- /dev/null
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobDocuments.kt
@@ -0,0 +1,17 @@
+package tanagerlane.direct
+
+import com.github.michaelbull.result.Result
+import tanagerlane.joblog.ListedResult
+import tanagerlane.joblog.RawItem
+import tanagerlane.model.Payload
+
+/**
+ * Form of the bodies of job calls.
+ *
+ * @property items reads the items of a submission
+ * @property results writes results: the number of items, the position after the results, and the results
+ */
+public data class JobDocuments(
+    val items: (Payload) -> Result<List<RawItem>, UnreadableObject>,
+    val results: (Int, Int, List<ListedResult>) -> Payload,
+)
--- /dev/null
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobRunner.kt
@@ -0,0 +1,389 @@
+package tanagerlane.direct
+
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.getOrElse
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.slf4j.LoggerFactory
+import tanagerlane.joblog.ItemEnd
+import tanagerlane.joblog.JobCard
+import tanagerlane.joblog.JobLog
+import tanagerlane.joblog.ListedResult
+import tanagerlane.message.JobBacklog
+import tanagerlane.message.ResultsQuery
+import tanagerlane.message.ResultsReply
+import tanagerlane.model.HostName
+import tanagerlane.model.JobId
+import tanagerlane.model.RequestClass
+import tanagerlane.model.ServiceName
+import tanagerlane.places.DirectTarget
+import tanagerlane.places.PlaceBook
+import tanagerlane.serving.ServingConfiguration
+import tanagerlane.store.StoreFailure
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
+
+/**
+ * Runs the jobs whose home this process is, in the places that callers leave.
+ *
+ * @param configuration configuration in force, or null before the first
+ * @param isCurrent whether the configuration is known to be the newest
+ */
+internal class JobRunner(
+    private val scope: CoroutineScope,
+    private val fleet: Fleet,
+    private val storage: JobStorage,
+    private val board: JobBoard,
+    private val places: PlaceBook,
+    private val items: ItemRunner,
+    private val metrics: DirectMetrics,
+    private val configuration: () -> ServingConfiguration?,
+    private val isCurrent: () -> Boolean,
+    private val now: () -> Instant,
+    private val wallClock: () -> Instant,
+    private val onPlacesChanged: () -> Unit,
+) {
+    private val held = HashMap<JobId, HeldJob>()
+    private val loading = HashSet<JobId>()
+    private val wakeUps = Channel<Unit>(Channel.CONFLATED)
+
+    /** Whether this process gives up its jobs. */
+    var isLeaving = false
+
+    /** Whether no job is left here. */
+    val isEmpty: Boolean get() = held.isEmpty() && loading.isEmpty()
+
+    /** Returns what is left of the jobs that this process runs. */
+    fun backlog(): List<JobBacklog> = held.map { (job, held) -> JobBacklog(job, held.log.pendingTokens) }
+
+    /** Looks at all jobs soon. */
+    fun wake() {
+        wakeUps.trySend(Unit)
+    }
+
+    suspend fun run() {
+        var lookedAt = now()
+        while (true) {
+            withTimeoutOrNull(LOOK_INTERVAL) { wakeUps.receive() }
+            if (now() - lookedAt > PAUSE_BOUND) {
+                logger.warn("process was paused for={}", now() - lookedAt)
+                held.values.forEach { it.isDoubtful = true }
+            }
+            lookedAt = now()
+            look()
+        }
+    }
+
+    /** Stops batch items where callers have taken their places. */
+    fun yieldPlaces() {
+        for ((target, count) in places.yields(now())) {
+            val running = held.values.flatMap { job -> job.runs.values.filter { it.target == target } }
+            running.sortedByDescending { it.startedAt }.take(count).forEach { run ->
+                metrics.yielded.increment()
+                run.coroutine.cancel()
+            }
+        }
+    }
+
+    /** Answers a process that asks for results. */
+    fun answer(
+        from: HostName,
+        query: ResultsQuery,
+    ) {
+        scope.launch {
+            val job = held[query.job]
+            if (job != null && job.log.listed.size <= query.after) {
+                withTimeoutOrNull(query.wait) { while (!hasNews(query)) delay(NEWS_INTERVAL) }
+            }
+            val reply = held[query.job]?.takeIf { !it.isDoubtful && !isLeaving }?.log?.listed?.drop(query.after)
+            fleet.send(from, ResultsReply(query.query, reply?.let(::bounded)))
+        }
+    }
+
+    private fun hasNews(query: ResultsQuery): Boolean {
+        val log = held[query.job]?.log ?: return true
+        return log.listed.size > query.after || log.isFinished
+    }
+
+    private fun bounded(results: List<ListedResult>): List<ListedResult> {
+        var bytes = 0
+        return results.takeWhile { result ->
+            val isFirst = bytes == 0
+            bytes += result.text.length
+            isFirst || bytes <= MAXIMUM_REPLY_BYTES
+        }
+    }
+
+    private fun look() {
+        adopt()
+        release()
+        yieldPlaces()
+        startItems()
+        held.values.forEach(::listResults)
+    }
+
+    private fun adopt() {
+        if (isLeaving) {
+            return
+        }
+        val runners = fleet.runners(includeOwn = true)
+        for (card in board.open()) {
+            val isHome = JobBoard.homeOf(card.job, runners) == fleet.own
+            if (isHome && card.job !in held && loading.add(card.job)) {
+                scope.launch {
+                    try {
+                        load(card)
+                    } finally {
+                        loading.remove(card.job)
+                    }
+                }
+            }
+        }
+    }
+
+    private suspend fun load(card: JobCard) {
+        val items = storage.items(card).getOrElse { return loadFailed(card, it) }
+        val pages = storage.pages(card.job).getOrElse { return loadFailed(card, it) }
+        val log = JobLog(card, items).reread(pages)
+        logger.info("job taken job={} items={} listed={} pages={}", card.job, items.size, log.listed.size, log.pages)
+        if (log.isFinished) {
+            board.noteFinished(card.job)
+        }
+        held[card.job] = HeldJob(log)
+        wake()
+    }
+
+    private suspend fun loadFailed(
+        card: JobCard,
+        failure: StoreFailure,
+    ) {
+        logger.warn("job not read job={} cause={}", card.job, failure)
+        delay(LOAD_RETRY)
+    }
+
+    private fun release() {
+        val runners = fleet.runners(includeOwn = !isLeaving)
+        for ((job, state) in held.entries.toList()) {
+            val isHome = JobBoard.homeOf(job, runners) == fleet.own
+            if (job in board.ended && !state.log.isEnded) {
+                state.log = state.log.copy(isEnded = true)
+                state.runs.values.forEach { it.coroutine.cancel() }
+            }
+            if (!isHome) {
+                state.runs.values.forEach { it.coroutine.cancel() }
+            }
+            val isIdle = !state.isWriting && state.runs.isEmpty()
+            val isFlushed = state.finished.isEmpty() || state.log.isEnded
+            if (isIdle && !isHome && isFlushed) {
+                logger.info("job released job={} listed={} leaving={}", job, state.log.listed.size, isLeaving)
+                held.remove(job)
+            }
+        }
+    }
+
+    private fun startItems() {
+        if (isLeaving) {
+            return
+        }
+        val startable =
+            held.values
+                .filter { !it.log.isFinished && !it.isDoubtful && it.finished.size < MAXIMUM_UNLISTED }
+                .sortedWith(compareBy({ it.log.card.dueAt }, { it.log.card.job.text }))
+        val full = HashSet<ServiceName>()
+        for (job in startable) {
+            for (progress in job.startable(now())) {
+                val service = serviceFor(job, progress) ?: continue
+                if (service in full) {
+                    continue
+                }
+                val target = places.placeBatch(service, now())
+                if (target == null) full += service else start(job, progress, target)
+            }
+        }
+    }
+
+    /** Returns the service that runs an item now, or null when there is none. */
+    private fun serviceFor(
+        job: HeldJob,
+        progress: ItemProgress,
+    ): ServiceName? {
+        val current = configuration() ?: return null
+        val route = current.routeFor(job.log.card.routeHost, progress.item.path)
+        if (route == null && isCurrent()) {
+            finish(job, progress, ItemEnd.ABANDONED, "route removed")
+        }
+        return route?.serviceFor(progress.item.id)
+    }
+
+    private fun start(
+        job: HeldJob,
+        progress: ItemProgress,
+        target: DirectTarget,
+    ) {
+        val id = progress.item.id
+        places.started(target.name, RequestClass.BATCH)
+        onPlacesChanged()
+        val coroutine =
+            scope.launch(start = CoroutineStart.LAZY) {
+                var ending = ItemEnding.BROKEN
+                try {
+                    ending = items.run(job.log.card, progress, target)
+                } catch (exception: CancellationException) {
+                    throw exception
+                } catch (exception: Exception) {
+                    logger.warn("item failed item={} target={}", id, target.name, exception)
+                } finally {
+                    places.ended(target.name, RequestClass.BATCH)
+                    onPlacesChanged()
+                    job.runs.remove(id)
+                    ended(job, progress, target, ending)
+                }
+            }
+        job.runs[id] = HeldJob.ItemRun(id, target.name, now(), coroutine)
+        coroutine.start()
+    }
+
+    private fun ended(
+        job: HeldJob,
+        progress: ItemProgress,
+        target: DirectTarget,
+        ending: ItemEnding,
+    ) {
+        when (ending) {
+            ItemEnding.WHOLE -> {
+                places.succeeded(target.name)
+                finish(job, progress, ItemEnd.COMPLETED, "whole")
+            }
+
+            ItemEnding.IMPOSSIBLE -> {
+                finish(job, progress, ItemEnd.ABANDONED, "impossible")
+            }
+
+            ItemEnding.FAILED -> {
+                noteFailure(job, progress)
+            }
+
+            ItemEnding.NOT_RUN, ItemEnding.BROKEN -> {
+                progress.notBefore = now() + RETRY_PAUSE
+            }
+        }
+        wake()
+    }
+
+    private fun noteFailure(
+        job: HeldJob,
+        progress: ItemProgress,
+    ) {
+        progress.attempts = progress.attempts.copy(failures = progress.attempts.failures + 1)
+        progress.notBefore = now() + FAILURE_PAUSE
+        if (progress.attempts.isExhausted(job.log.card.attempts)) {
+            finish(job, progress, ItemEnd.ABANDONED, "attempts exhausted")
+        }
+    }
+
+    private fun finish(
+        job: HeldJob,
+        progress: ItemProgress,
+        end: ItemEnd,
+        cause: String,
+    ) {
+        val text = if (end == ItemEnd.COMPLETED) progress.text else ""
+        job.finished[progress.item.id] = ListedResult(progress.item.id, end, text)
+        logger.info("item ended job={} item={} end={} cause={} events={}", job.log.card.job, progress.item.id, end, cause, progress.events)
+    }
+
+    /** Lists finished items once enough have gathered or enough time has passed. */
+    private fun listResults(job: HeldJob) {
+        abandonOverdue(job)
+        val isDue = now() - job.listedAt >= LIST_INTERVAL || job.finished.size + job.log.listed.size >= job.log.items.size
+        if (job.isWriting || job.log.isEnded || (!job.isDoubtful && (job.finished.isEmpty() || !isDue))) {
+            return
+        }
+        job.isWriting = true
+        scope.launch {
+            try {
+                if (job.isDoubtful) reread(job) else write(job)
+            } finally {
+                job.isWriting = false
+                wake()
+            }
+        }
+    }
+
+    private fun abandonOverdue(job: HeldJob) {
+        if (job.log.isFinished || !job.log.mayAbandon(wallClock())) {
+            return
+        }
+        for (progress in job.startable(now())) {
+            finish(job, progress, ItemEnd.ABANDONED, "retention over")
+        }
+    }
+
+    private suspend fun write(job: HeldJob) {
+        val results = job.log.listable(job.finished.values).let(::onePage)
+        val failure = storage.append(job.log.card.job, job.log.pages, results).fold({ null }, { it })
+        if (failure == null) {
+            job.log = job.log.withPage(results)
+            job.listedAt = now()
+            results.forEach { job.finished.remove(it.id) }
+            metrics.listed.increment(results.size.toDouble())
+            if (job.log.isFinished) {
+                board.noteFinished(job.log.card.job)
+            }
+            return
+        }
+        logger.warn("results not listed job={} page={} cause={}", job.log.card.job, job.log.pages, failure)
+        job.isDoubtful = true
+        delay(WRITE_RETRY)
+    }
+
+    /** Returns as many of [results] as one page may hold, at least one. */
+    private fun onePage(results: List<ListedResult>): List<ListedResult> {
+        var bytes = 0
+        return results.takeWhile { result ->
+            val isFirst = bytes == 0
+            bytes += result.text.length
+            isFirst || bytes <= MAXIMUM_PAGE_BYTES
+        }
+    }
+
+    private suspend fun reread(job: HeldJob) {
+        val card = job.log.card
+        val pages =
+            storage.pages(card.job).getOrElse { failure ->
+                logger.warn("log not read job={} cause={}", card.job, failure)
+                delay(WRITE_RETRY)
+                return
+            }
+        job.log = job.log.reread(pages)
+        job.isDoubtful = false
+        val listed = job.log.listed.mapTo(HashSet()) { it.id }
+        job.finished.keys.removeAll(listed)
+        listed.forEach { job.runs[it]?.coroutine?.cancel() }
+        logger.info("log read again job={} pages={} listed={}", card.job, job.log.pages, job.log.listed.size)
+    }
+
+    private companion object {
+        val LOOK_INTERVAL = 50.milliseconds
+        val PAUSE_BOUND = 1000.milliseconds
+        val NEWS_INTERVAL = 20.milliseconds
+        val LOAD_RETRY = 300.milliseconds
+        val WRITE_RETRY = 200.milliseconds
+        val RETRY_PAUSE = 20.milliseconds
+        val FAILURE_PAUSE = 100.milliseconds
+
+        /** Time in which finished items gather before they are listed. */
+        val LIST_INTERVAL = 400.milliseconds
+
+        /** Finished items of a job that may wait to be listed before no further one is started. */
+        const val MAXIMUM_UNLISTED = 64
+        const val MAXIMUM_PAGE_BYTES = 500_000
+        const val MAXIMUM_REPLY_BYTES = 700_000
+        val logger = LoggerFactory.getLogger(JobRunner::class.java)
+    }
+}
--- /dev/null
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobStorage.kt
@@ -0,0 +1,160 @@
+package tanagerlane.direct
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.map
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.cbor.Cbor
+import kotlinx.serialization.decodeFromByteArray
+import kotlinx.serialization.encodeToByteArray
+import tanagerlane.joblog.JobCard
+import tanagerlane.joblog.JobEnd
+import tanagerlane.joblog.ListedResult
+import tanagerlane.joblog.ListedResults
+import tanagerlane.joblog.RawItem
+import tanagerlane.joblog.RawItems
+import tanagerlane.jobs.putSettled
+import tanagerlane.model.JobId
+import tanagerlane.model.Payload
+import tanagerlane.store.ObjectKey
+import tanagerlane.store.ObjectStore
+import tanagerlane.store.StoreFailure
+import tanagerlane.store.StoredObject
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
+
+/**
+ * Keeps jobs in the object API: a card, the items in parts before it, and results in numbered pages.
+ *
+ * @param partBytes longest part, in bytes
+ */
+@OptIn(ExperimentalSerializationApi::class)
+internal class JobStorage(
+    private val store: ObjectStore,
+    private val partBytes: Int,
+) {
+    /** Returns the parts that hold [items]. */
+    fun partsOf(items: List<RawItem>): List<Payload> =
+        format
+            .encodeToByteArray(RawItems(items))
+            .asSequence()
+            .chunked(partBytes)
+            .map { Payload.of(it.toByteArray()) }
+            .toList()
+
+    /**
+     * Stores a job; it is accepted once its card is stored.
+     *
+     * Fails with [StoreFailure.Conflict] when a job of the same name is there, and with
+     * [StoreFailure.OutcomeUnknown] when it may have been accepted.
+     */
+    suspend fun create(
+        card: JobCard,
+        parts: List<Payload>,
+    ): Result<Unit, StoreFailure> {
+        parts.forEachIndexed { number, part ->
+            val failure = store.putSettled(partKey(card.job, number), part, null, PAUSE, TRIES).getOrElse { it }
+            if (failure is StoreFailure) {
+                return Err(StoreFailure.Unavailable("part $number not stored: $failure"))
+            }
+        }
+        return store.putSettled(cardKey(card.job), encoded(card), null, PAUSE, TRIES).map {}
+    }
+
+    suspend fun card(job: JobId): Result<JobCard, StoreFailure> = store.get(cardKey(job)).decoded()
+
+    /** Reads a card from the object of a view. */
+    fun cardOf(value: Payload): JobCard? =
+        try {
+            format.decodeFromByteArray<JobCard>(value.toByteArray())
+        } catch (_: IllegalArgumentException) {
+            null
+        }
+
+    suspend fun items(card: JobCard): Result<List<RawItem>, StoreFailure> {
+        val bytes = java.io.ByteArrayOutputStream()
+        repeat(card.parts) { number ->
+            val part = store.get(partKey(card.job, number)).getOrElse { return Err(it) }
+            bytes.write(part.value.toByteArray())
+        }
+        return decoded<RawItems>(partKey(card.job, 0), bytes.toByteArray()).map { it.items }
+    }
+
+    /** Returns the pages of results in their order. */
+    suspend fun pages(job: JobId): Result<List<List<ListedResult>>, StoreFailure> {
+        val listing = store.list("${resultsKind(job)}/").getOrElse { return Err(it) }
+        val pages = listing.objects.sortedBy { it.key.path }
+        return Ok(pages.map { page -> decoded<ListedResults>(page.key, page.value.toByteArray()).getOrElse { return Err(it) }.results })
+    }
+
+    /** Appends a page; fails with [StoreFailure.Conflict] when there is another with that number. */
+    suspend fun append(
+        job: JobId,
+        page: Int,
+        results: List<ListedResult>,
+    ): Result<Unit, StoreFailure> =
+        store.putSettled(pageKey(job, page), encoded(ListedResults(results)), null, PAUSE, TRIES).map {}
+
+    /** Records that the client ended [job]. */
+    suspend fun end(
+        job: JobId,
+        now: Instant,
+    ): Result<Unit, StoreFailure> {
+        val failure = store.put(endKey(job), encoded(JobEnd(now)), null).getOrElse { it }
+        return if (failure is StoreFailure && failure !is StoreFailure.Conflict) Err(failure) else Ok(Unit)
+    }
+
+    private inline fun <reified T> encoded(value: T): Payload = Payload.of(format.encodeToByteArray(value))
+
+    private inline fun <reified T> Result<StoredObject, StoreFailure>.decoded(): Result<T, StoreFailure> {
+        val stored = getOrElse { return Err(it) }
+        return decoded(stored.key, stored.value.toByteArray())
+    }
+
+    private inline fun <reified T> decoded(
+        key: ObjectKey,
+        bytes: ByteArray,
+    ): Result<T, StoreFailure> =
+        try {
+            Ok(format.decodeFromByteArray<T>(bytes))
+        } catch (exception: SerializationException) {
+            Err(StoreFailure.Unavailable("unreadable object $key: ${exception.message}"))
+        } catch (exception: IllegalArgumentException) {
+            Err(StoreFailure.Unavailable("unreadable object $key: ${exception.message}"))
+        }
+
+    internal companion object {
+        /** Kind of the cards and ends of jobs. */
+        const val JOBS_KIND = "jobs"
+        const val CARD_PREFIX = "card."
+        const val END_PREFIX = "end."
+        private const val TRIES = 3
+        private val PAUSE = 100.milliseconds
+        private val format =
+            Cbor {
+                alwaysUseByteString = true
+                ignoreUnknownKeys = true
+            }
+
+        private fun cardKey(job: JobId) = ObjectKey("$JOBS_KIND/$CARD_PREFIX${job.text}")
+
+        private fun endKey(job: JobId) = ObjectKey("$JOBS_KIND/$END_PREFIX${job.text}")
+
+        private fun partKey(
+            job: JobId,
+            number: Int,
+        ) = ObjectKey("job-items/${job.text}.$number")
+
+        private fun resultsKind(job: JobId) = "job-results-${job.text}"
+
+        private fun pageKey(
+            job: JobId,
+            page: Int,
+        ) = ObjectKey("${resultsKind(job)}/${page.toString().padStart(PAGE_DIGITS, '0')}")
+
+        private const val PAGE_DIGITS = 6
+    }
+}
--- /dev/null
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/Membership.kt
@@ -0,0 +1,109 @@
+package tanagerlane.direct
+
+import com.github.michaelbull.result.fold
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.slf4j.LoggerFactory
+import tanagerlane.membership.Member
+import tanagerlane.message.ViewObject
+import tanagerlane.model.HostName
+import tanagerlane.model.Payload
+import tanagerlane.store.ObjectKey
+import tanagerlane.store.ObjectStore
+import tanagerlane.store.ObjectVersion
+import tanagerlane.views.ObjectView
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/** Registers this process in the object API and removes the registrations of processes that are gone. */
+internal class Membership(
+    private val store: ObjectStore,
+    private val fleet: Fleet,
+    private val now: () -> Instant,
+) {
+    private var own: Member? = null
+    private var view = ObjectView(KIND)
+    private val unheardSince = HashMap<HostName, Instant>()
+    private val changes = Channel<Unit>(Channel.CONFLATED)
+
+    /** Takes in the stored registrations. */
+    fun update(updated: ObjectView) {
+        view = updated
+        fleet.update(view.objects.values.mapNotNull(::memberOf))
+        changes.trySend(Unit)
+    }
+
+    /** Keeps [member] registered until cancelled. */
+    suspend fun run(member: Member) {
+        own = member
+        while (true) {
+            if (view.isComplete && !isRegistered(member)) {
+                register(member)
+            }
+            withTimeoutOrNull(CHECK_INTERVAL) { changes.receive() }
+            removeLost()
+        }
+    }
+
+    /** Removes the registration of this process. */
+    suspend fun remove() {
+        val member = own ?: return
+        val stored = view.objects[member.host.text] ?: return
+        store.delete(keyOf(member.host), ObjectVersion(stored.version))
+    }
+
+    private fun isRegistered(member: Member): Boolean = view.objects[member.host.text]?.let(::memberOf) == member
+
+    private suspend fun register(member: Member) {
+        val present = view.objects[member.host.text]?.version?.let(::ObjectVersion)
+        val value = Payload.of(Json.encodeToString(Member.serializer(), member))
+        store.put(keyOf(member.host), value, present).fold(
+            success = { logger.info("registered host={} version={}", member.host, it) },
+            failure = { logger.warn("not registered host={} cause={}", member.host, it) },
+        )
+        withTimeoutOrNull(REGISTRATION_PAUSE) { changes.receive() }
+    }
+
+    private suspend fun removeLost() {
+        val reachable = fleet.reachable
+        val others = fleet.members.map { it.host }.filter { it != fleet.own }
+        unheardSince.keys.retainAll(others.toSet())
+        for (host in others) {
+            if (host in reachable) {
+                unheardSince.remove(host)
+                continue
+            }
+            val since = unheardSince.getOrPut(host, now)
+            val stored = view.objects[host.text]
+            if (now() - since > LOST_BOUND && reachable.isNotEmpty() && stored != null) {
+                logger.info("lost process removed host={} silent={}", host, now() - since)
+                store.delete(keyOf(host), ObjectVersion(stored.version))
+                unheardSince[host] = now()
+            }
+        }
+    }
+
+    private fun memberOf(stored: ViewObject): Member? =
+        try {
+            stored.value?.let { Json.decodeFromString(Member.serializer(), it.toText()) }
+        } catch (exception: SerializationException) {
+            logger.warn("registration not read name={} cause={}", stored.name, exception.message)
+            null
+        }
+
+    private fun keyOf(host: HostName) = ObjectKey("$KIND/${host.text}")
+
+    internal companion object {
+        /** Kind of the registrations. */
+        const val KIND = "members"
+        private val CHECK_INTERVAL = 1.seconds
+        private val REGISTRATION_PAUSE = 500.milliseconds
+
+        /** Time without a message after which a registration is removed. */
+        private val LOST_BOUND = 12.seconds
+        private val logger = LoggerFactory.getLogger(Membership::class.java)
+    }
+}
--- /dev/null
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ViewKeeper.kt
@@ -0,0 +1,164 @@
+package tanagerlane.direct
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.map
+import kotlinx.coroutines.delay
+import org.slf4j.LoggerFactory
+import tanagerlane.message.ViewObject
+import tanagerlane.message.ViewRequest
+import tanagerlane.message.ViewUpdate
+import tanagerlane.model.HostName
+import tanagerlane.store.Changes
+import tanagerlane.store.Listing
+import tanagerlane.store.ObjectStore
+import tanagerlane.store.ObjectVersion
+import tanagerlane.store.StoreFailure
+import tanagerlane.views.ObjectView
+import tanagerlane.views.WatchDuty
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/**
+ * Keeps a view of one kind of objects up to date, by watching or by what other processes relay.
+ *
+ * @param onChange takes the view after each change, and after each confirmation that there was none
+ */
+internal class ViewKeeper(
+    private val kind: String,
+    private val store: ObjectStore,
+    private val fleet: Fleet,
+    private val times: ViewTimes,
+    private val now: () -> Instant,
+    private val onChange: (ObjectView) -> Unit,
+) {
+    private val duty = WatchDuty(fleet.own, WATCHERS, times.patience)
+    private var retryPause = FIRST_RETRY
+    private var isAway = false
+
+    var view = ObjectView(kind)
+        private set
+
+    /** When the view was last known to be current, or null before the first time. */
+    var heardAt: Instant? = null
+        private set
+
+    /** Time since the view was last known to be current, or null before the first time. */
+    fun age(): Duration? = heardAt?.let { now() - it }
+
+    suspend fun run() {
+        while (true) {
+            if (duty.isDue(kind, fleet.reachable, age())) {
+                poll()
+            } else {
+                delay(DUTY_INTERVAL)
+            }
+        }
+    }
+
+    /** Takes in what [from] relays. */
+    fun received(
+        from: HostName,
+        update: ViewUpdate,
+    ) {
+        val updated = view.updated(update)
+        if (updated == null) {
+            fleet.send(from, ViewRequest(kind))
+        } else {
+            accept(updated)
+        }
+    }
+
+    /** Sends [to] a complete copy. */
+    fun requested(to: HostName) {
+        if (view.isComplete) {
+            fleet.send(to, view.copyUpdate())
+        }
+    }
+
+    private suspend fun poll() {
+        val before = view.at
+        val update = if (view.isComplete) watched(before) else listed()
+        val news =
+            update.getOrElse { failure ->
+                failed(failure)
+                return
+            }
+        regained()
+        view.updated(news)?.let(::accept)
+        fleet.broadcast(news)
+        delay(times.pause)
+    }
+
+    private suspend fun watched(after: ObjectVersion): Result<ViewUpdate, StoreFailure> =
+        store.watch("$kind/", after, times.wait).map { updateOf(after, it) }
+
+    private suspend fun listed(): Result<ViewUpdate, StoreFailure> = store.list("$kind/").map(::updateOf)
+
+    private fun updateOf(
+        after: ObjectVersion,
+        changes: Changes,
+    ): ViewUpdate {
+        val objects =
+            changes.changes.map { change ->
+                val current = change.current
+                ViewObject(nameOf(change.key.path), current?.version?.number ?: changes.at.number, current?.value)
+            }
+        return ViewUpdate(kind, after = after.number, at = changes.at.number, objects = objects)
+    }
+
+    private fun updateOf(listing: Listing): ViewUpdate {
+        val objects = listing.objects.map { ViewObject(nameOf(it.key.path), it.version.number, it.value) }
+        return ViewUpdate(kind, after = 0, at = listing.at.number, objects = objects)
+    }
+
+    private fun nameOf(path: String): String = path.substringAfter('/')
+
+    private suspend fun failed(failure: StoreFailure) {
+        if (failure is StoreFailure.HistoryGone) {
+            logger.info("view listed anew kind={} at={} cause=history_gone", kind, view.at)
+            relist()
+            return
+        }
+        if (!isAway) {
+            isAway = true
+            logger.warn("store lost kind={} at={} age={} cause={}", kind, view.at, age(), failure)
+        }
+        delay(retryPause)
+        retryPause = minOf(retryPause * 2, LONGEST_RETRY)
+    }
+
+    private suspend fun relist() {
+        val news =
+            listed().getOrElse {
+                delay(retryPause)
+                return
+            }
+        view.updated(news)?.let(::accept)
+        fleet.broadcast(news)
+    }
+
+    private fun regained() {
+        retryPause = FIRST_RETRY
+        if (isAway) {
+            isAway = false
+            logger.info("store regained kind={} at={}", kind, view.at)
+        }
+    }
+
+    private fun accept(updated: ObjectView) {
+        view = updated
+        heardAt = now()
+        onChange(updated)
+    }
+
+    private companion object {
+        const val WATCHERS = 2
+        val DUTY_INTERVAL = 100.milliseconds
+        val FIRST_RETRY = 100.milliseconds
+        val LONGEST_RETRY = 1.seconds
+        val logger = LoggerFactory.getLogger(ViewKeeper::class.java)
+    }
+}
--- a/tanagerlane-standin/src/main/kotlin/tanagerlane/standin/store/ObjectStoreServer.kt
+++ b/tanagerlane-standin/src/main/kotlin/tanagerlane/standin/store/ObjectStoreServer.kt
@@ -174,6 +174,10 @@
                     .end()
             }
 
+            StoreFailure.HistoryGone -> {
+                response.setStatusCode(GONE).end()
+            }
+
             is StoreFailure.Unavailable -> {
                 response.setStatusCode(UNAVAILABLE).end()
             }
@@ -196,6 +200,7 @@
         const val BODY_LIMIT = 2L shl 20
         const val BAD_REQUEST = 400
         const val NOT_FOUND = 404
+        const val GONE = 410
         const val PRECONDITION_FAILED = 412
         const val TOO_LARGE = 413
         const val UNAVAILABLE = 503
