--- a/tanagerlane-core/src/main/kotlin/tanagerlane/views/ObjectView.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/views/ObjectView.kt
@@ -2,6 +2,7 @@
 
 import tanagerlane.message.ViewObject
 import tanagerlane.message.ViewUpdate
+import tanagerlane.model.HostName
 import tanagerlane.store.ObjectVersion
 
 /**
@@ -27,9 +28,9 @@
             else -> null
         }
 
-    /** Returns the update that makes a complete copy of this view. */
-    public fun copyUpdate(): ViewUpdate =
-        ViewUpdate(kind = kind, after = 0, at = at.number, objects = objects.values.toList())
+    /** Returns the update by which [host] gives others a complete copy of this view. */
+    public fun copyUpdate(host: HostName): ViewUpdate =
+        ViewUpdate(host = host, kind = kind, after = 0, at = at.number, objects = objects.values.toList())
 
     private fun changed(update: ViewUpdate): Map<String, ViewObject> {
         val newer = update.objects.filter { it.version > (objects[it.name]?.version ?: 0) }
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
@@ -15,6 +15,7 @@
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
+import tanagerlane.attempts.LivenessSettings
 import tanagerlane.limits.EntryFleet
 import tanagerlane.limits.SharedRates
 import tanagerlane.membership.Member
@@ -40,6 +41,7 @@
 import tanagerlane.wire.WireAddress
 import tanagerlane.wire.WireEndpoint
 import tanagerlane.wire.WireFault
+import tanagerlane.wire.WireLimits
 import kotlin.time.Clock
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -60,9 +62,8 @@
     private val metrics = DirectMetrics(registry)
     private val deployment = deploymentOf { metrics.storeCalls(it).increment() }
     private val scope = CoroutineScope(SupervisorJob() + vertx.dispatcher() + failureLog())
-    private val endpoint = WireEndpoint(hello(), scope, now = clock::now)
-    private val datagrams = Datagrams(vertx) { fleet.receivedDatagram(it) }
-    private val fleet: Fleet = Fleet(hello(), scope, endpoint, clock::now, ::receive, ::silent)
+    private val endpoint = WireEndpoint(hello(), scope, WIRE_LIMITS, clock::now)
+    private val fleet = Fleet(vertx, hello(), scope, endpoint, clock::now, ::receive, ::silent)
     private val places = PlaceBook(settings.host.name, settings.host.failureDomain)
     private val rates = SharedRates()
     private val headers = RequestHeaders(deployment.headers)
@@ -85,7 +86,7 @@
     private val targetKeeper = keeper(deployment.targets.kind, TARGET_TIMES, ::takeTargets)
     private val jobKeeper = keeper(JobStorage.JOBS_KIND, JOB_TIMES, ::takeJobs)
     private val memberKeeper = keeper(Membership.KIND, MEMBER_TIMES, members::update)
-    private val removalKeeper = keeper(deployment.removals.kind, JOB_TIMES, ::takeRemovals)
+    private val removalKeeper = keeper(deployment.removals.kind, REMOVAL_TIMES, ::takeRemovals)
     private val keepers =
         listOf(configurationKeeper, targetKeeper, jobKeeper, memberKeeper, removalKeeper)
             .associateBy { it.view.kind }
@@ -135,7 +136,7 @@
     public suspend fun start(): Result<WireAddress, WireFault> =
         withContext(scope.coroutineContext) {
             val address = WireAddress(settings.host.address, settings.host.wirePort)
-            datagrams.listen(address)
+            fleet.listen(address)
             endpoint.listen(address, fleet::serve).map { bound ->
                 settings.callerAddress?.let { callers.listen(it, settings.readyAddress) }
                 launchLoops(bound)
@@ -192,10 +193,7 @@
     private suspend fun reportLoop() {
         while (true) {
             withTimeoutOrNull(REPORT_INTERVAL) { reportWanted.receive() }
-            val report = ownReport()
-            if (!datagrams.send(report, fleet.addresses)) {
-                fleet.broadcast(report)
-            }
+            fleet.broadcast(ownReport())
             delay(REPORT_PAUSE)
         }
     }
@@ -363,13 +361,18 @@
             """"reachable":${fleet.reachable.size},"leaving":$isLeaving}"""
 
     private companion object {
+        /** Datagrams tell who is there, so connections need few pings. */
+        val WIRE_LIMITS =
+            WireLimits(liveness = LivenessSettings(pingInterval = 1500.milliseconds, silenceBound = 4.seconds, pauseBound = 2.seconds))
+
         /** Bytes of the object API for each byte of a part, since values travel as text. */
         const val VALUE_OVERHEAD = 2
         val CONFIGURATION_TIMES = ViewTimes(wait = 1.seconds, pause = 50.milliseconds, patience = 1400.milliseconds)
         val TARGET_TIMES = ViewTimes(wait = 1.seconds, pause = 400.milliseconds, patience = 1000.milliseconds)
-        val JOB_TIMES = ViewTimes(wait = 1.seconds, pause = 50.milliseconds, patience = 1500.milliseconds)
+        val JOB_TIMES = ViewTimes(wait = 2.seconds, pause = 50.milliseconds, patience = 2500.milliseconds)
+        val REMOVAL_TIMES = ViewTimes(wait = 2.seconds, pause = 500.milliseconds, patience = 3.seconds)
         val MEMBER_TIMES = ViewTimes(wait = 5.seconds, pause = 200.milliseconds, patience = 6.seconds)
-        val TICK = 100.milliseconds
+        val TICK = 200.milliseconds
         val REPORT_INTERVAL = 150.milliseconds
         val REPORT_PAUSE = 5.milliseconds
 
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/Fleet.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/Fleet.kt
@@ -1,5 +1,6 @@
 package tanagerlane.direct
 
+import io.vertx.core.Vertx
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import org.slf4j.LoggerFactory
@@ -7,6 +8,7 @@
 import tanagerlane.message.Hello
 import tanagerlane.message.HostRole
 import tanagerlane.message.PlaceReport
+import tanagerlane.message.ViewUpdate
 import tanagerlane.message.WireMessage
 import tanagerlane.model.HostName
 import tanagerlane.model.Incarnation
@@ -25,6 +27,7 @@
  * @param onSilent called when a process that was reachable has fallen silent
  */
 internal class Fleet(
+    vertx: Vertx,
     private val hello: Hello,
     private val scope: CoroutineScope,
     private val endpoint: WireEndpoint,
@@ -32,6 +35,7 @@
     private val onMessage: (HostName, WireMessage) -> Unit,
     private val onSilent: (HostName) -> Unit,
 ) {
+    private val datagrams = Datagrams(vertx, ::receivedDatagram)
     private val directory = MemberDirectory(hello.host)
     private val heardAt = HashMap<HostName, Instant>()
     private val leaving = HashSet<HostName>()
@@ -53,18 +57,8 @@
     val reachable: Set<HostName>
         get() = heardAt.filterValues { now() - it <= SILENCE }.keys
 
-    /** Where the other processes that are registered listen. */
-    val addresses: List<WireAddress>
-        get() = members.filter { it.host != own }.mapNotNull { directory.addressOf(it.host) }
-
-    /** Takes in a message that came without a connection. */
-    fun receivedDatagram(message: WireMessage) {
-        if (message is PlaceReport && message.host != own) {
-            received(message.host, message)
-        } else {
-            logger.warn("unexpected datagram type={}", message::class.simpleName)
-        }
-    }
+    /** Listens for messages that come without a connection. */
+    suspend fun listen(address: WireAddress): Unit = datagrams.listen(address)
 
     /** Serves a connection that another process has made. */
     suspend fun serve(connection: WireConnection): Unit = peers.serve(connection)
@@ -78,9 +72,16 @@
         message: WireMessage,
     ): Unit = peers.send(to, message)
 
-    /** Sends [message] to all that are registered. */
+    /**
+     * Sends [message] to all that are registered, as a datagram where it is short enough.
+     *
+     * A datagram may be lost; what is lost must be noticed by the next message of its kind.
+     */
     fun broadcast(message: WireMessage) {
-        members.forEach { if (it.host != own) peers.send(it.host, message) }
+        val others = members.filter { it.host != own }
+        if (!datagrams.send(message, others.mapNotNull { directory.addressOf(it.host) })) {
+            others.forEach { peers.send(it.host, message) }
+        }
     }
 
     /** Processes that run jobs and can be reached, this one included where [includeOwn]. */
@@ -110,6 +111,20 @@
         }
     }
 
+    private fun receivedDatagram(message: WireMessage) {
+        val sender =
+            when (message) {
+                is PlaceReport -> message.host
+                is ViewUpdate -> message.host
+                else -> null
+            }
+        if (sender == null) {
+            logger.warn("unexpected datagram type={}", message::class.simpleName)
+        } else if (sender != own) {
+            received(sender, message)
+        }
+    }
+
     private fun received(
         from: HostName,
         message: WireMessage,
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/HeldJob.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/HeldJob.kt
@@ -1,5 +1,6 @@
 package tanagerlane.direct
 
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.Job
 import tanagerlane.joblog.JobLog
 import tanagerlane.joblog.ListedResult
@@ -9,8 +10,16 @@
 
 /** A job that this process runs. */
 internal class HeldJob(
-    var log: JobLog,
+    log: JobLog,
 ) {
+    /** The job as it is stored. */
+    var log: JobLog = log
+        set(changed) {
+            field = changed
+            news.complete(Unit)
+            news = CompletableDeferred()
+        }
+
     val progress: Map<RequestId, ItemProgress> = log.items.associate { it.id to ItemProgress(it) }
 
     /** Results that no page holds yet. */
@@ -19,6 +28,10 @@
     /** Items that run now. */
     val runs = HashMap<RequestId, ItemRun>()
 
+    /** Completed and replaced when [log] has changed. */
+    var news = CompletableDeferred<Unit>()
+        private set
+
     /** Whether a page is being written. */
     var isWriting = false
 
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobRunner.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobRunner.kt
@@ -97,10 +97,7 @@
         query: ResultsQuery,
     ) {
         scope.launch {
-            val job = held[query.job]
-            if (job != null && job.log.listed.size <= query.after) {
-                withTimeoutOrNull(query.wait) { while (!hasNews(query)) delay(NEWS_INTERVAL) }
-            }
+            withTimeoutOrNull(query.wait) { while (!hasNews(query)) held[query.job]?.news?.await() }
             val reply = held[query.job]?.takeIf { !it.isDoubtful && !isLeaving }?.log?.listed?.drop(query.after)
             fleet.send(from, ResultsReply(query.query, reply?.let(::bounded)))
         }
@@ -370,10 +367,9 @@
     }
 
     private companion object {
-        val LOOK_INTERVAL = 50.milliseconds
+        val LOOK_INTERVAL = 100.milliseconds
         val LOOK_PAUSE = 10.milliseconds
         val PAUSE_BOUND = 1000.milliseconds
-        val NEWS_INTERVAL = 20.milliseconds
         val LOAD_RETRY = 300.milliseconds
         val WRITE_RETRY = 200.milliseconds
         val RETRY_PAUSE = 20.milliseconds
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ViewKeeper.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ViewKeeper.kt
@@ -74,7 +74,7 @@
     /** Sends [to] a complete copy. */
     fun requested(to: HostName) {
         if (view.isComplete) {
-            fleet.send(to, view.copyUpdate())
+            fleet.send(to, view.copyUpdate(fleet.own))
         }
     }
 
@@ -106,12 +106,12 @@
                 val current = change.current
                 ViewObject(nameOf(change.key.path), current?.version?.number ?: changes.at.number, current?.value)
             }
-        return ViewUpdate(kind, after = after.number, at = changes.at.number, objects = objects)
+        return ViewUpdate(fleet.own, kind, after = after.number, at = changes.at.number, objects = objects)
     }
 
     private fun updateOf(listing: Listing): ViewUpdate {
         val objects = listing.objects.map { ViewObject(nameOf(it.key.path), it.version.number, it.value) }
-        return ViewUpdate(kind, after = 0, at = listing.at.number, objects = objects)
+        return ViewUpdate(fleet.own, kind, after = 0, at = listing.at.number, objects = objects)
     }
 
     private fun nameOf(path: String): String = path.substringAfter('/')
@@ -156,7 +156,7 @@
 
     private companion object {
         const val WATCHERS = 2
-        val DUTY_INTERVAL = 100.milliseconds
+        val DUTY_INTERVAL = 200.milliseconds
         val FIRST_RETRY = 100.milliseconds
         val LONGEST_RETRY = 1.seconds
         val logger = LoggerFactory.getLogger(ViewKeeper::class.java)
