--- a/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/operator/RefusalsCommand.kt
+++ b/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/operator/RefusalsCommand.kt
@@ -9,9 +9,9 @@
 import tanagerlane.message.RefusalMinute
 import tanagerlane.message.RefusalTally
 import tanagerlane.model.WorkspaceName
+import tanagerlane.refusals.RefusalAudit
 import tanagerlane.runtime.StoredDocuments
 import tanagerlane.runtime.configuration.ConfigurationFailure
-import tanagerlane.refusals.RefusalAudit
 import kotlin.time.Instant
 
 /** Shows the stored refusals: minutes for each workspace, and requests by reason and run state. */
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/serving/NextStep.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/serving/NextStep.kt
@@ -38,7 +38,7 @@
             remaining: Duration,
         ): NextStep {
             val hasTime = remaining >= SHORTEST_ATTEMPT
-            val mayRepeat = handed == 0 || route.isRepeatable && handed < route.attempts
+            val mayRepeat = handed == 0 || (route.isRepeatable && handed < route.attempts)
             return when {
                 end == AttemptEnd.NOT_RUN && hasTime && mayRepeat && refusals < MAXIMUM_REFUSALS -> TryElsewhere
                 end == AttemptEnd.NOT_RUN && handed == 0 -> GiveUp(RefusalReason.OVERLOADED, RunState.NOT_RUN)
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/serving/ServingRoute.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/serving/ServingRoute.kt
@@ -34,7 +34,7 @@
 ) {
     /** Whether a request that may have run may be sent again. */
     public val isRepeatable: Boolean
-        get() = kind == RouteKind.SAFE || kind == RouteKind.STREAM && resumable
+        get() = kind == RouteKind.SAFE || (kind == RouteKind.STREAM && resumable)
 
     /** Returns the service for [request], the same on every host. */
     public fun serviceFor(request: RequestId): ServiceName? {
--- /dev/null
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/limits/SharedRatesTest.kt
@@ -0,0 +1,113 @@
+package tanagerlane.limits
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.doubles.shouldBeLessThanOrEqual
+import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.shouldBe
+import tanagerlane.message.WorkspaceAdmissions
+import tanagerlane.model.HostName
+import tanagerlane.model.WorkspaceName
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+class SharedRatesTest :
+    FunSpec({
+        val start = Instant.fromEpochSeconds(1_000_000)
+        val crews = WorkspaceName("crews")
+        val alone = EntryFleet(known = 1, heard = 1)
+
+        fun rates(
+            perSecond: Double,
+            burst: Int,
+        ) = SharedRates().apply { configure(mapOf(crews to Rate(perSecond, burst))) }
+
+        test("a workspace without a rate is not limited") {
+            val rates = rates(1.0, 1)
+            List(100) { rates.admit(WorkspaceName("others"), alone, start) } shouldBe List(100) { null }
+        }
+
+        test("a burst is admitted at once, and the wait after it is that for one token") {
+            val rates = rates(10.0, 3)
+            List(4) { rates.admit(crews, alone, start) } shouldBe listOf(null, null, null, 100.milliseconds)
+            rates.admit(crews, alone, start + 100.milliseconds) shouldBe null
+        }
+
+        test("what another entry admits is charged once, however often it is reported") {
+            val rates = rates(10.0, 10)
+            rates.admit(crews, alone, start) shouldBe null
+            repeat(3) {
+                rates.received(HostName("entry-2"), listOf(WorkspaceAdmissions(crews, 9)), isNew = it == 0)
+            }
+            rates.admit(crews, alone, start) shouldBe 100.milliseconds
+        }
+
+        test("an entry that hears nobody uses its even share") {
+            val rates = rates(10.0, 10)
+            val cut = EntryFleet(known = 5, heard = 1)
+            val admitted = (0 until 10_000 step 10).count { rates.admit(crews, cut, start + it.milliseconds) == null }
+            admitted shouldBe 2 + 19
+        }
+
+        test("five entries that are cut from each other and meet again stay within the rate in every window") {
+            val most =
+                (0 until 40).maxOf { seed ->
+                    mostInWindow(Random(seed), perSecond = 20.0, burst = 20)
+                }
+            most shouldBeLessThanOrEqual BOUND
+            most.toInt() shouldBeGreaterThan 60
+        }
+    }) {
+    private companion object {
+        /** (20 a second x 5 s + burst of 20) x 1.1 + 20, the users' bound for one window. */
+        const val BOUND = (20.0 * 5 + 20) * 1.1 + 20
+        const val ENTRIES = 5
+        const val STEPS = 4_000
+        val STEP = 5.milliseconds
+        val REPORT_DELAY = 20.milliseconds
+
+        /** Returns the most requests that five entries together admitted in any 5 s. */
+        fun mostInWindow(
+            random: Random,
+            perSecond: Double,
+            burst: Int,
+        ): Double {
+            val crews = WorkspaceName("crews")
+            val entries =
+                List(ENTRIES) { SharedRates().apply { configure(mapOf(crews to Rate(perSecond, burst))) } }
+            val reports = ArrayDeque<Pair<Instant, () -> Unit>>()
+            val admitted = ArrayList<Instant>()
+            var now = Instant.fromEpochSeconds(1_000_000)
+            var cut = emptySet<Int>()
+            repeat(STEPS) { step ->
+                now += STEP
+                if (step % 400 == 0) {
+                    cut = (0 until ENTRIES).filter { random.nextInt(3) == 0 }.toSet()
+                }
+                val number = random.nextInt(ENTRIES)
+                val heard = if (number in cut) 1 else ENTRIES - cut.size
+                if (entries[number].admit(crews, EntryFleet(ENTRIES, heard), now) == null) {
+                    admitted += now
+                }
+                if (number !in cut) {
+                    val report = entries[number].report()
+                    val receivers = (0 until ENTRIES).filter { it != number && it !in cut }
+                    reports.addLast(
+                        now + REPORT_DELAY to {
+                            receivers.forEach {
+                                entries[it].received(HostName("entry-$number"), report, isNew = false)
+                            }
+                        },
+                    )
+                }
+                while (reports.isNotEmpty() && reports.first().first <= now) {
+                    reports.removeFirst().second()
+                }
+            }
+            return admitted.indices
+                .maxOf { first -> admitted.drop(first).takeWhile { it - admitted[first] < 5.seconds }.size }
+                .toDouble()
+        }
+    }
+}
--- /dev/null
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/places/TargetListTest.kt
@@ -0,0 +1,49 @@
+package tanagerlane.places
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import tanagerlane.model.TargetName
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class TargetListTest :
+    FunSpec({
+        fun TargetList.namesAt(after: Duration): Set<String> = usable(start + after).mapTo(HashSet()) { it.name.text }
+
+        test("a target that goes from the list is not used any more") {
+            val list = TargetList().updated(listOf(target("x"), target("y")), start)
+            list.updated(listOf(target("y")), start + 1.seconds).namesAt(1.seconds) shouldBe setOf("y")
+        }
+
+        test("targets that lapsed while the object API was away are kept until they had time to return") {
+            val before = TargetList().updated(listOf(target("x"), target("y")), start)
+            val back = before.updated(emptyList(), start + 5.seconds)
+            back.namesAt(5.seconds) shouldBe setOf("x", "y")
+            back.namesAt(6999.milliseconds) shouldBe setOf("x", "y")
+            back.namesAt(7.seconds) shouldBe emptySet()
+        }
+
+        test("a target that lapses soon after the return is kept too, and one that comes back is listed again") {
+            val back =
+                TargetList().updated(listOf(target("x"), target("y")), start).updated(
+                    listOf(target("x")),
+                    start + 5.seconds,
+                )
+            val lapsed = back.updated(emptyList(), start + 6.seconds)
+            lapsed.namesAt(6.seconds) shouldBe setOf("x", "y")
+            val listed = lapsed.updated(listOf(target("y")), start + 6500.milliseconds)
+            listed.listed.keys shouldBe setOf(TargetName("y"))
+            listed.namesAt(8.seconds) shouldBe setOf("y")
+        }
+
+        test("a target that was leaving when it lapsed is not kept") {
+            val before = TargetList().updated(listOf(target("x", leaving = true)), start)
+            before.updated(emptyList(), start + 5.seconds).namesAt(5.seconds) shouldBe emptySet()
+        }
+
+        test("a quiet list that is confirmed is no gap") {
+            val confirmed = TargetList().updated(listOf(target("x")), start).confirmed(start + 1.seconds)
+            confirmed.updated(emptyList(), start + 2.seconds).namesAt(2.seconds) shouldBe emptySet()
+        }
+    })
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DecodedObjects.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DecodedObjects.kt
@@ -24,7 +24,13 @@
         fault: UnreadableObject,
         version: Long,
     ): T? {
-        logger.warn("object not read kind={} name={} version={} cause={}", source.kind, fault.name, version, fault.reason)
+        logger.warn(
+            "object not read kind={} name={} version={} cause={}",
+            source.kind,
+            fault.name,
+            version,
+            fault.reason,
+        )
         return null
     }
 
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
@@ -233,7 +233,8 @@
     ) {
         val last = lastSequences[from]
         val isNew = last == null || last.incarnation.number < report.incarnation.number
-        val isOld = last != null && !isNew && (report.incarnation != last.incarnation || report.sequence <= last.sequence)
+        val isOld =
+            last != null && !isNew && (report.incarnation != last.incarnation || report.sequence <= last.sequence)
         if (isOld) {
             return
         }
@@ -259,9 +260,19 @@
         if (newest.revision.number <= (configuration?.revision?.number ?: -1)) {
             return
         }
-        logger.info("configuration in force revision={} version={} before={}", newest.revision, view.at, configuration?.revision)
+        logger.info(
+            "configuration in force revision={} version={} before={}",
+            newest.revision,
+            view.at,
+            configuration?.revision,
+        )
         configuration = newest
-        rates.configure(newest.workspaces.mapNotNull { (name, workspace) -> workspace.rate?.let { name to it } }.toMap())
+        rates.configure(
+            newest.workspaces
+                .mapNotNull { (name, workspace) ->
+                    workspace.rate?.let { name to it }
+                }.toMap(),
+        )
         runner.wake()
     }
 
@@ -280,7 +291,10 @@
         view: ObjectView,
     ) {
         val before = targets.listed.values.toSet()
-        val added = listed.filter { it !in before }.joinToString(",") { "${it.name}${if (it.leaving) "(leaving)" else ""}" }
+        val added =
+            listed.filter { it !in before }.joinToString(
+                ",",
+            ) { "${it.name}${if (it.leaving) "(leaving)" else ""}" }
         val gone = (targets.listed.keys - listed.map { it.name }.toSet()).joinToString(",")
         logger.info("targets changed version={} changed=[{}] gone=[{}] listed={}", view.at, added, gone, listed.size)
     }
@@ -329,7 +343,11 @@
     private fun isCurrent(): Boolean = configurationKeeper.age()?.let { it <= settings.configurationBound } ?: false
 
     private fun entryFleet(): EntryFleet {
-        val entries = fleet.members.filter { it.role == HostRole.ENTRY }.map { it.host }.toSet() + settings.host.name
+        val entries =
+            fleet.members
+                .filter { it.role == HostRole.ENTRY }
+                .map { it.host }
+                .toSet() + settings.host.name
         val reachable = fleet.reachable
         return EntryFleet(known = entries.size, heard = entries.count { it == settings.host.name || it in reachable })
     }
@@ -352,8 +370,7 @@
             failureDomain = settings.host.failureDomain,
         )
 
-    private fun failureLog() =
-        CoroutineExceptionHandler { _, failure -> logger.error("uncaught failure", failure) }
+    private fun failureLog() = CoroutineExceptionHandler { _, failure -> logger.error("uncaught failure", failure) }
 
     private fun status(): String =
         """{"role":"${settings.role.name.lowercase()}","host":"${settings.host.name}",""" +
@@ -363,7 +380,14 @@
     private companion object {
         /** Datagrams tell who is there, so connections need few pings. */
         val WIRE_LIMITS =
-            WireLimits(liveness = LivenessSettings(pingInterval = 1500.milliseconds, silenceBound = 4.seconds, pauseBound = 2.seconds))
+            WireLimits(
+                liveness =
+                    LivenessSettings(
+                        pingInterval = 1500.milliseconds,
+                        silenceBound = 4.seconds,
+                        pauseBound = 2.seconds,
+                    ),
+            )
 
         /** Bytes of the object API for each byte of a part, since values travel as text. */
         const val VALUE_OVERHEAD = 2
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/Fleet.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/Fleet.kt
@@ -141,4 +141,3 @@
         private val logger = LoggerFactory.getLogger(Fleet::class.java)
     }
 }
-
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobDesk.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobDesk.kt
@@ -67,7 +67,9 @@
         workspace: WorkspaceName?,
     ) {
         val card = ownCard(exchange, job, workspace) ?: return
-        val listed = listedAfter(exchange, job, after) ?: return exchange.refuse(notRun(RefusalReason.STORE_UNAVAILABLE), RETRY_AFTER)
+        val listed =
+            listedAfter(exchange, job, after)
+                ?: return exchange.refuse(notRun(RefusalReason.STORE_UNAVAILABLE), RETRY_AFTER)
         val page = firstPage(listed)
         val document = documents.results(card.items, after + page.size, page)
         exchange.answerJson(OK, Buffer.buffer(document.toByteArray()))
@@ -155,13 +157,7 @@
         job: JobId,
         workspace: WorkspaceName?,
     ): JobCard? {
-        val card =
-            board.card(job) ?: storage.card(job).getOrElse { failure ->
-                val reason = if (failure is StoreFailure.NotFound) RefusalReason.NOT_FOUND else RefusalReason.STORE_UNAVAILABLE
-                logger.info("job not found job={} failure={}", job, failure)
-                exchange.refuse(notRun(reason), RETRY_AFTER)
-                return null
-            }
+        val card = board.card(job) ?: storedCard(exchange, job) ?: return null
         if (card.workspace != workspace) {
             logger.info("job of another workspace job={} asked_by={}", job, workspace)
             exchange.refuse(notRun(RefusalReason.NOT_FOUND))
@@ -171,6 +167,18 @@
         return card
     }
 
+    private suspend fun storedCard(
+        exchange: CallerExchange,
+        job: JobId,
+    ): JobCard? =
+        storage.card(job).getOrElse { failure ->
+            val isMissing = failure is StoreFailure.NotFound
+            val reason = if (isMissing) RefusalReason.NOT_FOUND else RefusalReason.STORE_UNAVAILABLE
+            logger.info("job not found job={} failure={}", job, failure)
+            exchange.refuse(notRun(reason), RETRY_AFTER)
+            null
+        }
+
     private suspend fun listedAfter(
         exchange: CallerExchange,
         job: JobId,
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobRunner.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobRunner.kt
@@ -98,7 +98,12 @@
     ) {
         scope.launch {
             withTimeoutOrNull(query.wait) { while (!hasNews(query)) held[query.job]?.news?.await() }
-            val reply = held[query.job]?.takeIf { !it.isDoubtful && !isLeaving }?.log?.listed?.drop(query.after)
+            val reply =
+                held[query.job]
+                    ?.takeIf { !it.isDoubtful && !isLeaving }
+                    ?.log
+                    ?.listed
+                    ?.drop(query.after)
             fleet.send(from, ResultsReply(query.query, reply?.let(::bounded)))
         }
     }
@@ -292,13 +297,21 @@
     ) {
         val text = if (end == ItemEnd.COMPLETED) progress.text else ""
         job.finished[progress.item.id] = ListedResult(progress.item.id, end, text)
-        logger.info("item ended job={} item={} end={} cause={} events={}", job.log.card.job, progress.item.id, end, cause, progress.events)
+        logger.info(
+            "item ended job={} item={} end={} cause={} events={}",
+            job.log.card.job,
+            progress.item.id,
+            end,
+            cause,
+            progress.events,
+        )
     }
 
     /** Lists finished items once enough have gathered or enough time has passed. */
     private fun listResults(job: HeldJob) {
         abandonOverdue(job)
-        val isDue = now() - job.listedAt >= LIST_INTERVAL || job.finished.size + job.log.listed.size >= job.log.items.size
+        val isDue =
+            now() - job.listedAt >= LIST_INTERVAL || job.finished.size + job.log.listed.size >= job.log.items.size
         if (job.isWriting || job.log.isEnded || (!job.isDoubtful && (job.finished.isEmpty() || !isDue))) {
             return
         }
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobStorage.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobStorage.kt
@@ -87,7 +87,11 @@
     suspend fun pages(job: JobId): Result<List<List<ListedResult>>, StoreFailure> {
         val listing = store.list("${resultsKind(job)}/").getOrElse { return Err(it) }
         val pages = listing.objects.sortedBy { it.key.path }
-        return Ok(pages.map { page -> decoded<ListedResults>(page.key, page.value.toByteArray()).getOrElse { return Err(it) }.results })
+        return Ok(
+            pages.map { page ->
+                decoded<ListedResults>(page.key, page.value.toByteArray()).getOrElse { return Err(it) }.results
+            },
+        )
     }
 
     /** Appends a page; fails with [StoreFailure.Conflict] when there is another with that number. */
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineHandler.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineHandler.kt
@@ -144,7 +144,14 @@
         remaining: Duration,
     ): Duration {
         val mayRepeat = request.route.isRepeatable && request.handed + 1 < request.route.attempts
-        return if (mayRepeat) minOf(remaining, maxOf(request.route.objective * OBJECTIVE_SHARE, SHORTEST_PATIENCE)) else remaining
+        return if (mayRepeat) {
+            minOf(
+                remaining,
+                maxOf(request.route.objective * OBJECTIVE_SHARE, SHORTEST_PATIENCE),
+            )
+        } else {
+            remaining
+        }
     }
 
     private suspend fun passOn(
@@ -268,7 +275,13 @@
         target: DirectTarget,
         cause: String,
     ): AttemptEnd {
-        logger.info("stream broke off request={} target={} last_event={} cause={}", request.id, target.name, request.lastEvent, cause)
+        logger.info(
+            "stream broke off request={} target={} last_event={} cause={}",
+            request.id,
+            target.name,
+            request.lastEvent,
+            cause,
+        )
         places.failed(target.name, now())
         return AttemptEnd.LOST
     }
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/RequestHeaders.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/RequestHeaders.kt
@@ -21,7 +21,8 @@
         workspace: WorkspaceName?,
         remaining: Duration,
         resumeAfter: Long?,
-    ): MultiMap = common(received.passedOn(replaced), target, workspace, resumeAfter).add(names.deadline, textOf(remaining))
+    ): MultiMap =
+        common(received.passedOn(replaced), target, workspace, resumeAfter).add(names.deadline, textOf(remaining))
 
     /** Headers for an item of a job; [host] is the host name of its route. */
     fun forItem(
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetClient.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetClient.kt
@@ -81,7 +81,13 @@
                 .setConnectTimeout(CONNECT_TIMEOUT.inWholeMilliseconds)
         return try {
             val opened = withTimeoutOrNull(minOf(patience, CONNECT_TIMEOUT)) { client.connect(options).coAwait() }
-            if (opened == null) Err(CallFault.NotSent("no connection to ${target.address}")) else Ok(TargetConnection(target.address, opened))
+            if (opened ==
+                null
+            ) {
+                Err(CallFault.NotSent("no connection to ${target.address}"))
+            } else {
+                Ok(TargetConnection(target.address, opened))
+            }
         } catch (exception: CancellationException) {
             throw exception
         } catch (exception: Exception) {
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/EntryDaemon.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/EntryDaemon.kt
@@ -29,6 +29,8 @@
 import tanagerlane.message.WireMessage
 import tanagerlane.model.HostName
 import tanagerlane.model.Incarnation
+import tanagerlane.refusals.RefusalLedger
+import tanagerlane.refusals.RefusalPeer
 import tanagerlane.runtime.HopTracer
 import tanagerlane.runtime.MemberRegistration
 import tanagerlane.runtime.MonotonicClock
@@ -36,8 +38,6 @@
 import tanagerlane.runtime.PrefixWatcher
 import tanagerlane.runtime.configuration.ConfigurationFollower
 import tanagerlane.runtime.openTelemetryOf
-import tanagerlane.refusals.RefusalLedger
-import tanagerlane.refusals.RefusalPeer
 import tanagerlane.settings.EntrySettings
 import tanagerlane.store.ObjectStore
 import tanagerlane.store.StoredObject
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/RefusalRecorder.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/RefusalRecorder.kt
@@ -13,11 +13,11 @@
 import tanagerlane.model.HostName
 import tanagerlane.model.Incarnation
 import tanagerlane.model.WorkspaceName
-import tanagerlane.runtime.StoredDocuments
 import tanagerlane.refusals.RefusalCopies
 import tanagerlane.refusals.RefusalFlush
 import tanagerlane.refusals.RefusalLedger
 import tanagerlane.refusals.RefusalPeer
+import tanagerlane.runtime.StoredDocuments
 import tanagerlane.store.ObjectStore
 import tanagerlane.store.ObjectVersion
 import kotlin.time.Duration.Companion.milliseconds
--- a/tanagerlane-sidecar/src/test/kotlin/tanagerlane/sidecar/engine/TargetSchedulerTest.kt
+++ b/tanagerlane-sidecar/src/test/kotlin/tanagerlane/sidecar/engine/TargetSchedulerTest.kt
@@ -22,9 +22,9 @@
 import tanagerlane.model.RequestId
 import tanagerlane.model.RunState
 import tanagerlane.model.WorkspaceName
-import tanagerlane.runtime.MonotonicClock
 import tanagerlane.queueing.QueueLoad
 import tanagerlane.queueing.QueueSettings
+import tanagerlane.runtime.MonotonicClock
 import tanagerlane.sidecar.TargetClient
 import tanagerlane.sidecar.engine.RecordedAnswer.Failure
 import tanagerlane.standin.engine.EngineServer
