--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/IdleConnections.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/IdleConnections.kt
@@ -10,12 +10,20 @@
 ) {
     private val byAddress = HashMap<String, ArrayDeque<IdleConnection>>()
 
-    /** Returns a connection to [address] that the target has surely not closed for being idle, or null. */
-    fun take(address: String): TargetConnection? {
+    /**
+     * Returns a connection to [address] for [request], or null.
+     *
+     * It is one that the target has not closed for being idle and that did not carry the same request before, since a
+     * second answer to that could not be told from the answer to come.
+     */
+    fun take(
+        address: String,
+        request: String,
+    ): TargetConnection? {
         val waiting = byAddress[address] ?: return null
         while (true) {
             val last = waiting.removeLastOrNull() ?: return null
-            if (!last.connection.isClosed && now() < last.usableUntil) {
+            if (!last.connection.isClosed && last.connection.lastRequest != request && now() < last.usableUntil) {
                 return last.connection
             }
             last.connection.close()
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetClient.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetClient.kt
@@ -50,7 +50,7 @@
         request: TargetRequest,
         patience: Duration,
     ): Result<TargetAnswer, CallFault> {
-        val connection = connected(target, patience).getOrElse { return Err(it) }
+        val connection = connected(target, request.id, patience).getOrElse { return Err(it) }
         val exchange = TargetExchange(connection, idle, request.id, requestIdHeader)
         var answer: Result<TargetAnswer, CallFault>? = null
         try {
@@ -68,9 +68,10 @@
 
     private suspend fun connected(
         target: DirectTarget,
+        requestId: String,
         patience: Duration,
     ): Result<TargetConnection, CallFault> {
-        idle.take(target.address)?.let { return Ok(it) }
+        idle.take(target.address, requestId)?.let { return Ok(it) }
         val address =
             WireAddress.parse(target.address)
                 ?: return Err(CallFault.NotSent("address is not IP:port: ${target.address}"))
@@ -116,6 +117,7 @@
 
     suspend fun run(request: TargetRequest): Result<TargetAnswer, CallFault> {
         var isSent = false
+        connection.lastRequest = id
         return try {
             val options = RequestOptions().setMethod(request.method).setURI(request.uri).setHeaders(request.headers)
             val outgoing = connection.opened.request(options).coAwait()
@@ -152,8 +154,9 @@
             return
         }
         isWhole = true
-        body.close()
         if (isWritten && mayKeep(response)) idle.put(connection, keepTimeOf(response)) else connection.close()
+        // Last, since the receiver may go on at once and ask for a connection.
+        body.close()
     }
 
     private fun answerOf(response: HttpClientResponse): Result<TargetAnswer, CallFault> {
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetConnection.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetConnection.kt
@@ -7,6 +7,9 @@
     val address: String,
     val opened: HttpClientConnection,
 ) {
+    /** Identity of the request that was sent last, whose answer may come once more, or null. */
+    var lastRequest: String? = null
+
     /** Whether the connection has ended. */
     var isClosed = false
         private set
