Wait for an engine's answer before the request is sent

The caller's thread is not the event loop: an answer could come whole between sending and the registration of what waits for it, so the body's end was never seen. Both clients of the sidecar now register first.

--- a/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/TargetClient.kt
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/TargetClient.kt
@@ -94,7 +94,10 @@
         val request = client.request(options).coAwait()
         call.headers.forEach { request.putHeader(it.name, it.value) }
         try {
-            val response = request.send(Buffer.buffer(call.body.toByteArray())).map(::paused).coAwait()
+            // Set before the request is sent, since the answer may come whole before this thread goes on.
+            val head = request.response().map(::paused)
+            request.end(Buffer.buffer(call.body.toByteArray()))
+            val response = head.coAwait()
             passOn(response, sink)
         } catch (exception: CancellationException) {
             reset(request)
--- a/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/engine/EngineClient.kt
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/engine/EngineClient.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import io.vertx.core.Future
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpClientRequest
@@ -75,17 +76,14 @@
         body: Payload,
         onEvent: (String) -> Unit,
     ): Result<Unit, EngineFailure> {
+        // Set before the request is sent, since the answer may come whole before this thread goes on.
+        val head = request.response().compose(::headOf)
+        request.end(Buffer.buffer(body.toByteArray()))
         val response =
-            request
-                .send(
-                    Buffer.buffer(body.toByteArray()),
-                ).map { it.also(HttpClientResponse::pause) }
-                .coAwait()
-        if (response.statusCode() !in SUCCESS) {
-            val body = response.body()
-            response.resume()
-            return Err(EngineFailure.Answered(response.statusCode(), Payload.of(body.coAwait().bytes)))
-        }
+            when (val received = head.coAwait()) {
+                is EngineHead.Failed -> return Err(EngineFailure.Answered(received.status, received.body))
+                is EngineHead.Streaming -> received.response
+            }
         val parser = EventParser()
         for (piece in pieces(response)) {
             parser.accept(piece.bytes).forEach(onEvent)
@@ -93,6 +91,15 @@
         return Ok(Unit)
     }
 
+    /** Runs on the event loop, where no part of the answer can come before it is waited for. */
+    private fun headOf(response: HttpClientResponse): Future<EngineHead> {
+        if (response.statusCode() in SUCCESS) {
+            response.pause()
+            return Future.succeededFuture(EngineHead.Streaming(response))
+        }
+        return response.body().map { EngineHead.Failed(response.statusCode(), Payload.of(it.bytes)) }
+    }
+
     private fun pieces(response: HttpClientResponse): Channel<Buffer> {
         val pieces = Channel<Buffer>(Channel.UNLIMITED)
         response.handler { pieces.trySend(it) }
