Cut results to size in one place, and drop code that nothing calls

Three loops took as many results as a byte bound holds; firstWithin serves all. Parts of a job are sliced instead of boxing each byte, views are published in one place, and JobBoard and Fleet lose members that nothing called.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerExchange.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerExchange.kt
@@ -4,6 +4,7 @@
 import io.vertx.core.http.HttpServerRequest
 import kotlinx.coroutines.CompletableDeferred
 import tanagerlane.model.RequestId
+import java.util.Locale
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.DurationUnit
@@ -112,7 +113,7 @@
         val wait = retryAfter?.takeIf { refusal.mayReturn }
         val headers = HashMap<String, String>()
         id?.let { headers[names.requestId] = it.text }
-        wait?.let { headers["retry-after"] = "%.3f".format(java.util.Locale.ROOT, it.toDouble(DurationUnit.SECONDS)) }
+        wait?.let { headers["retry-after"] = "%.3f".format(Locale.ROOT, it.toDouble(DurationUnit.SECONDS)) }
         answer(refusal.status, headers.entries, Buffer.buffer())
     }
 
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/Fleet.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/Fleet.kt
@@ -11,7 +11,6 @@
 import tanagerlane.message.ViewUpdate
 import tanagerlane.message.WireMessage
 import tanagerlane.model.HostName
-import tanagerlane.model.Incarnation
 import tanagerlane.wire.MemberDirectory
 import tanagerlane.wire.PeerConnections
 import tanagerlane.wire.WireAddress
@@ -90,8 +89,6 @@
         return others.mapTo(HashSet()) { it.host } + if (includeOwn) setOf(own) else emptySet()
     }
 
-    fun incarnationOf(host: HostName): Incarnation? = directory.members.firstOrNull { it.host == host }?.incarnation
-
     /** Notes whether [host] has said that it is leaving. */
     fun noteLeaving(
         host: HostName,
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobBoard.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobBoard.kt
@@ -20,13 +20,8 @@
     var ended: Set<JobId> = emptySet()
         private set
 
-    /** Whether the stored jobs have been listed. */
-    var isComplete = false
-        private set
-
     /** Takes in the stored jobs. */
     fun update(view: ObjectView) {
-        isComplete = view.isComplete
         val present = HashSet<JobId>()
         for ((name, stored) in view.objects) {
             val value = stored.value ?: continue
@@ -75,9 +70,6 @@
         backlogs.remove(host)
     }
 
-    /** Whether another process reports that it runs [job]. */
-    fun isRunElsewhere(job: JobId): Boolean = backlogs.values.any { (it[job] ?: 0) > 0 }
-
     /** Tokens of [workspace] that wait on [route]. */
     fun waitingTokens(
         workspace: WorkspaceName?,
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobDesk.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobDesk.kt
@@ -70,7 +70,7 @@
         val listed =
             listedAfter(exchange, job, after)
                 ?: return exchange.refuse(notRun(RefusalReason.STORE_UNAVAILABLE), RETRY_AFTER)
-        val page = firstPage(listed)
+        val page = listed.firstWithin(MAXIMUM_ANSWER_BYTES, RESULT_OVERHEAD)
         val document = documents.results(card.items, after + page.size, page)
         exchange.answerJson(OK, Buffer.buffer(document.toByteArray()))
     }
@@ -195,16 +195,6 @@
         )
     }
 
-    /** Returns as many of [listed] as one answer may hold, at least one. */
-    private fun firstPage(listed: List<ListedResult>): List<ListedResult> {
-        var bytes = 0
-        return listed.takeWhile { result ->
-            val isFirst = bytes == 0
-            bytes += result.text.length + RESULT_OVERHEAD
-            isFirst || bytes <= MAXIMUM_ANSWER_BYTES
-        }
-    }
-
     private fun cardOf(
         job: JobId,
         route: ServingRoute,
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobRunner.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobRunner.kt
@@ -104,7 +104,7 @@
                     ?.log
                     ?.listed
                     ?.drop(query.after)
-            fleet.send(from, ResultsReply(query.query, reply?.let(::bounded)))
+            fleet.send(from, ResultsReply(query.query, reply?.firstWithin(MAXIMUM_REPLY_BYTES)))
         }
     }
 
@@ -113,15 +113,6 @@
         return log.listed.size > query.after || log.isFinished
     }
 
-    private fun bounded(results: List<ListedResult>): List<ListedResult> {
-        var bytes = 0
-        return results.takeWhile { result ->
-            val isFirst = bytes == 0
-            bytes += result.text.length
-            isFirst || bytes <= MAXIMUM_REPLY_BYTES
-        }
-    }
-
     private fun look() {
         adopt()
         release()
@@ -343,7 +334,7 @@
     }
 
     private suspend fun write(job: HeldJob) {
-        val results = job.log.listable(job.finished.values).let(::onePage)
+        val results = job.log.listable(job.finished.values).firstWithin(MAXIMUM_PAGE_BYTES)
         val failure = storage.append(job.log.card.job, job.log.pages, results).fold({ null }, { it })
         if (failure == null) {
             job.log = job.log.withPage(results)
@@ -360,16 +351,6 @@
         delay(WRITE_RETRY)
     }
 
-    /** Returns as many of [results] as one page may hold, at least one. */
-    private fun onePage(results: List<ListedResult>): List<ListedResult> {
-        var bytes = 0
-        return results.takeWhile { result ->
-            val isFirst = bytes == 0
-            bytes += result.text.length
-            isFirst || bytes <= MAXIMUM_PAGE_BYTES
-        }
-    }
-
     private suspend fun reread(job: HeldJob) {
         val card = job.log.card
         val pages =
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobStorage.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobStorage.kt
@@ -23,6 +23,7 @@
 import tanagerlane.store.ObjectStore
 import tanagerlane.store.StoreFailure
 import tanagerlane.store.StoredObject
+import java.io.ByteArrayOutputStream
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
 
@@ -37,13 +38,12 @@
     private val partBytes: Int,
 ) {
     /** Returns the parts that hold [items]. */
-    fun partsOf(items: List<RawItem>): List<Payload> =
-        format
-            .encodeToByteArray(RawItems(items))
-            .asSequence()
-            .chunked(partBytes)
-            .map { Payload.of(it.toByteArray()) }
-            .toList()
+    fun partsOf(items: List<RawItem>): List<Payload> {
+        val bytes = format.encodeToByteArray(RawItems(items))
+        return (bytes.indices step partBytes).map { start ->
+            Payload.of(bytes.copyOfRange(start, minOf(start + partBytes, bytes.size)))
+        }
+    }
 
     /**
      * Stores a job; it is accepted once its card is stored.
@@ -75,7 +75,7 @@
         }
 
     suspend fun items(card: JobCard): Result<List<RawItem>, StoreFailure> {
-        val bytes = java.io.ByteArrayOutputStream()
+        val bytes = ByteArrayOutputStream()
         repeat(card.parts) { number ->
             val part = store.get(partKey(card.job, number)).getOrElse { return Err(it) }
             bytes.write(part.value.toByteArray())
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ViewKeeper.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ViewKeeper.kt
@@ -87,8 +87,7 @@
                 return
             }
         regained()
-        view.updated(news)?.let(::accept)
-        fleet.broadcast(news)
+        publish(news)
         delay(times.pause)
     }
 
@@ -136,6 +135,10 @@
                 delay(retryPause)
                 return
             }
+        publish(news)
+    }
+
+    private fun publish(news: ViewUpdate) {
         view.updated(news)?.let(::accept)
         fleet.broadcast(news)
     }
