--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerService.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerService.kt
@@ -38,10 +38,10 @@
     private val now: () -> Instant,
 ) {
     private val connections = HashSet<HttpConnection>()
+    private val open = LinkedHashSet<CallerExchange>()
 
     /** Requests that have no final answer yet. */
-    var openRequests = 0
-        private set
+    val openRequests: Int get() = open.size
 
     /** Listens for callers on [address], and for the balancer on [readyAddress] where that is another. */
     suspend fun listen(
@@ -54,9 +54,20 @@
 
     /** Closes all connections of callers. */
     fun closeConnections() {
+        open.take(LOGGED_REQUESTS).forEach(::logCut)
         connections.toList().forEach { it.close() }
     }
 
+    private fun logCut(exchange: CallerExchange) {
+        logger.warn(
+            "request cut request={} path={} age={} has_begun={}",
+            exchange.id?.text,
+            exchange.path,
+            now() - exchange.arrivedAt,
+            exchange.isAnswered,
+        )
+    }
+
     private suspend fun listenOn(address: String) {
         val parsed = requireNotNull(WireAddress.parse(address)) { "address is not IP:port: $address" }
         vertx
@@ -79,7 +90,7 @@
         }
         val limit = state.configuration()?.limits?.maximumBodyBytes ?: DEFAULT_BODY_BYTES
         val exchange = CallerExchange(request, deployment.headers, now(), limit, state.isStopping)
-        openRequests++
+        open += exchange
         val job =
             scope.launch(start = CoroutineStart.UNDISPATCHED) {
                 try {
@@ -90,7 +101,7 @@
                 } catch (exception: Throwable) {
                     failed(exchange, exception)
                 } finally {
-                    openRequests--
+                    open -= exchange
                 }
             }
         exchange.onGone = { job.cancel() }
@@ -188,6 +199,9 @@
         const val UNAVAILABLE = 503
         const val MAXIMUM_HEADER_BYTES = 65_536
         const val DEFAULT_BODY_BYTES = 4 * 1024 * 1024
+
+        /** Bound on the lines that one stop of the process may log about open requests. */
+        const val LOGGED_REQUESTS = 100
         val RETRY_AFTER = 200.milliseconds
         val logger = LoggerFactory.getLogger(CallerService::class.java)
     }
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
@@ -185,9 +185,10 @@
             while (clock.now() < deadline && (clock.now() < noticed || callers.openRequests > 0 || !runner.isEmpty)) {
                 delay(STOP_INTERVAL)
             }
+            logger.info("closing connections open_requests={} jobs_released={}", callers.openRequests, runner.isEmpty)
             callers.closeConnections()
             withTimeoutOrNull(STOP_MARGIN / 2) { members.remove() }
-            logger.info("stopped open_requests={} jobs_released={}", callers.openRequests, runner.isEmpty)
+            logger.info("stopped")
         }
     }
 
