--- /dev/null
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/DirectStopTest.kt
@@ -0,0 +1,81 @@
+package tanagerlane.direct
+
+import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.ints.shouldBeInRange
+import io.kotest.matchers.shouldBe
+import io.vertx.core.Vertx
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withContext
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class DirectStopTest :
+    FunSpec({
+        val vertx = Vertx.vertx()
+        afterSpec { vertx.close().coAwait() }
+
+        suspend fun started(
+            targets: List<FakeTarget>,
+            stopTime: Duration,
+        ): FakeDeployment.StartedDaemon {
+            targets.forEach { it.start() }
+            val deployment = FakeDeployment(vertx, targets).also { it.prepare() }
+            val started = deployment.start("entry-1", "entry", stopTime = stopTime)
+            withContext(Dispatchers.IO) {
+                eventually(10.seconds) {
+                    KeptConnection(started.port).use { it.send("/streams/1", "first") } shouldBe 200
+                }
+            }
+            return started
+        }
+
+        /** Keeps connections from before the stop and sends one request on each, one every [SEND_INTERVAL] from the stop on. */
+        suspend fun requestsWhileStopping(started: FakeDeployment.StartedDaemon): Map<String, Int?> =
+            coroutineScope {
+                val connections = List(KEPT_CONNECTIONS) { KeptConnection(started.port) }
+                val answers =
+                    connections.mapIndexed { index, connection ->
+                        async(Dispatchers.IO) {
+                            delay(SEND_INTERVAL * index)
+                            "stop-$index" to connection.use { it.send("/streams/1", "stop-$index") }
+                        }
+                    }
+                started.daemon.drainAndStop()
+                answers.awaitAll().toMap()
+            }
+
+        test("a request on a kept connection of a stopping entry is answered whole or not passed on") {
+            val targets = List(4) { FakeTarget(vertx, "t$it", pauseMilliseconds = 60) }
+            val answers = requestsWhileStopping(started(targets, stopTime = 8.seconds))
+            val passedOn = targets.flatMap { it.requests }.map { it.substringBefore(' ') }.toSet() - "first"
+            answers.filterKeys { it in passedOn }.filterValues { it != 200 } shouldBe emptyMap()
+            answers.filterKeys { it !in passedOn }.values.toSet() - setOf(503, null) shouldBe emptySet()
+            passedOn.size shouldBeInRange 1..<KEPT_CONNECTIONS
+        }
+
+        test("a request that is open when its entry has to end is answered before the connection is closed") {
+            val target = FakeTarget(vertx, "t1")
+            val started = started(listOf(target), stopTime = 4.seconds)
+            target.isSilent = true
+            val answer =
+                coroutineScope {
+                    val sent = async(Dispatchers.IO) { KeptConnection(started.port).use { it.send("/once/1", "open") } }
+                    eventually(5.seconds) { ("open after 0" in target.requests) shouldBe true }
+                    started.daemon.drainAndStop()
+                    sent.await()
+                }
+            answer shouldBe 504
+        }
+    }) {
+    private companion object {
+        const val KEPT_CONNECTIONS = 80
+        val SEND_INTERVAL = 100.milliseconds
+    }
+}
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeDeployment.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeDeployment.kt
@@ -33,6 +33,7 @@
 import tanagerlane.store.ObjectKey
 import tanagerlane.store.ObjectStore
 import java.nio.file.Path
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -60,6 +61,7 @@
         ports: List<Int> = freePorts(),
         dataFolder: Path? = null,
         vertx: Vertx = this.vertx,
+        stopTime: Duration = 8.seconds,
     ): StartedDaemon {
         val settings =
             SettingsReader
@@ -69,6 +71,7 @@
                     """
                     role = "$role"
                     callerAddress = "127.0.0.1:${ports[0]}"
+                    stopTime = "$stopTime"
                     [host]
                     name = "$name"
                     failureDomain = "a"
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeTarget.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeTarget.kt
@@ -33,6 +33,10 @@
     @Volatile
     var refuses = false
 
+    /** Whether requests are taken and never answered. */
+    @Volatile
+    var isSilent = false
+
     /** Streams that run now. */
     @Volatile
     var running = 0
@@ -58,6 +62,7 @@
         val response = request.response().putHeader("Attempt-Id", id).putHeader("Server-Stamp", name)
         request.body().onSuccess {
             when {
+                isSilent -> Unit
                 refuses -> response.putHeader("Not-Run", "1").setStatusCode(503).end()
                 status != 200 -> response.setStatusCode(status).end("failed")
                 else -> stream(response.setChunked(true), after + 1)
