Do not charge what other entries admitted before this one first heard of them

Cause: the first report of another entry carries its count since its own start, and all of it was charged. Ruled out: a part of the fleet that was not heard (current=true, no 'peer lost'), the configuration (revision unchanged).

SharedRatesTest failed before in 2 of 4 cases: 0 admitted instead of 5 and 3.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/limits/SharedRates.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/limits/SharedRates.kt
@@ -69,7 +69,14 @@
             admitted.filterValues { now - it.lastAt <= REPORT_TIME }.map { WorkspaceAdmissions(it.key, it.value.count) }
         }
 
-    /** Charges what [host] has admitted since its last report; [isNew] tells that it has started anew. */
+    /**
+     * Charges what [host] has admitted since its last report.
+     *
+     * What it had admitted before this entry first heard of it is not charged: this entry opens each bucket with its
+     * even part of the burst only, which leaves the rest to the others.
+     *
+     * @param isNew whether [host] has started since this entry did, so that all that it has admitted is charged
+     */
     public fun received(
         host: HostName,
         admissions: List<WorkspaceAdmissions>,
@@ -78,15 +85,24 @@
         now: Instant,
     ) {
         synchronized(lock) {
-            val before = if (isNew) emptyMap() else heard[host].orEmpty()
+            val before = if (isNew) emptyMap() else heard[host]
             for (admission in admissions) {
-                val fresh = admission.admitted - (before[admission.workspace] ?: 0)
-                charge(admission.workspace, fresh.coerceAtLeast(0), fleet, now)
+                val requests =
+                    when {
+                        isNew -> admission.admitted
+                        before == null -> 0
+                        else -> admission.admitted - (before[admission.workspace] ?: idleCount(admission))
+                    }
+                charge(admission.workspace, requests.coerceAtLeast(0), fleet, now)
             }
-            heard[host] = before + admissions.associate { it.workspace to it.admitted }
+            heard[host] = before.orEmpty() + admissions.associate { it.workspace to it.admitted }
         }
     }
 
+    /** Count at which an entry left off that reports a workspace again after an idle time; it has spent a burst at most. */
+    private fun idleCount(admission: WorkspaceAdmissions): Long =
+        (admission.admitted - (rates[admission.workspace]?.burst ?: 0)).coerceAtLeast(0)
+
     /** Refills before it charges, so that a long idle time does not make up for what is charged now. */
     private fun charge(
         workspace: WorkspaceName,
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/PlaceReports.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/PlaceReports.kt
@@ -70,8 +70,9 @@
         }
         newest[from] = version
         places.received(from, report, now())
-        val isStarted = last == null || last.incarnation != report.incarnation
-        rates.received(from, report.admissions, isNew = isStarted, entries(), now())
+        val isNew =
+            if (last == null) report.incarnation.number > incarnation.number else last.incarnation != report.incarnation
+        rates.received(from, report.admissions, isNew, entries(), now())
         fleet.noteLeaving(from, report.leaving)
         return true
     }
