--- /dev/null
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/SlowReaderStopTest.kt
@@ -0,0 +1,82 @@
+package tanagerlane.direct
+
+import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.vertx.core.Vertx
+import io.vertx.core.buffer.Buffer
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withContext
+import tanagerlane.model.Payload
+import tanagerlane.store.ObjectKey
+import java.net.Socket
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+class SlowReaderStopTest :
+    FunSpec({
+        val vertx = Vertx.vertx()
+        afterSpec { vertx.close().coAwait() }
+
+        test("a stopping entry does not end before a slow caller has got its whole answer") {
+            val port =
+                vertx
+                    .createHttpServer()
+                    .requestHandler { request ->
+                        val id = request.getHeader("Attempt-Id")
+                        val response = request.response().putHeader("Attempt-Id", id).putHeader("Server-Stamp", "t1")
+                        response.end(if (id == "long") Buffer.buffer(ByteArray(ANSWER_BYTES)) else Buffer.buffer())
+                    }.listen(0, "127.0.0.1")
+                    .coAwait()
+                    .actualPort()
+            val deployment = FakeDeployment(vertx, emptyList()).also { it.prepare() }
+            deployment.store.put(ObjectKey("targets/t1"), Payload.of("$port"), null)
+            val started = deployment.start("entry-1", "entry", stopTime = 8.seconds)
+            withContext(Dispatchers.IO) {
+                eventually(10.seconds) {
+                    KeptConnection(started.port).use { it.send("/calls/1", "first") } shouldBe 200
+                }
+            }
+            val clock = TimeSource.Monotonic
+            coroutineScope {
+                val read =
+                    async(Dispatchers.IO) {
+                        Socket("127.0.0.1", started.port).use { socket ->
+                            socket.soTimeout = READ_TIMEOUT_MILLISECONDS
+                            socket.getOutputStream().write(HEAD.toByteArray())
+                            delay(READ_DELAY)
+                            socket.getInputStream().readAllBytes().size to clock.markNow()
+                        }
+                    }
+                delay(HEAD_TIME)
+                started.daemon.drainAndStop()
+                val endedAt = clock.markNow()
+                val (bytes, readAt) = read.await()
+                val isWhole = bytes > ANSWER_BYTES
+                val wasWaitedFor = endedAt >= readAt - ROUNDING
+                (isWhole to wasWaitedFor) shouldBe (true to true)
+            }
+        }
+    }) {
+    private companion object {
+        const val HEAD =
+            "POST /calls/1 HTTP/1.1\r\nHost: localhost\r\nAttempt-Id: long\r\nCredential: good-key\r\nContent-Length: 0\r\n\r\n"
+        const val READ_TIMEOUT_MILLISECONDS = 20_000
+
+        /** More than the buffers of a connection hold. */
+        const val ANSWER_BYTES = 40_000_000
+
+        /** Time in which the answer comes from the target before the stop begins. */
+        val HEAD_TIME = 2.seconds
+
+        /** Time after which the caller reads; requests are no longer taken then, and the entry has not run out of time. */
+        val READ_DELAY = 6.seconds
+
+        /** Time between the last byte's reading and its noting. */
+        val ROUNDING = 1.seconds
+    }
+}
