--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/RunnerStopTest.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/RunnerStopTest.kt
@@ -88,6 +88,7 @@
                     .objects
                     .map { it.key.path }
             eventually(10.seconds) { registered() shouldBe listOf("members/batch-1") }
+            delay(PEERS_TIME)
             runner.daemon.drainAndStop()
             delay(NOTICE_TIME)
             registered() shouldBe emptyList()
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/SlowReaderStopTest.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/SlowReaderStopTest.kt
@@ -68,7 +68,7 @@
         const val READ_TIMEOUT_MILLISECONDS = 20_000
 
         /** More than the buffers of a connection hold. */
-        const val ANSWER_BYTES = 40_000_000
+        const val ANSWER_BYTES = 16_000_000
 
         /** Time in which the answer comes from the target before the stop begins. */
         val HEAD_TIME = 2.seconds
