--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerService.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerService.kt
@@ -186,6 +186,9 @@
             return refuse(exchange, RefusalReason.RATE_LIMITED, wait)
         }
         val body = exchange.body() ?: return refuse(exchange, RefusalReason.TOO_LARGE)
+        if (!state.takesRequests()) {
+            return refuse(exchange, RefusalReason.SHUTTING_DOWN, STOP_RETRY_AFTER)
+        }
         val service = route.serviceFor(exchange.id) ?: return refuse(exchange, RefusalReason.NO_TARGET)
         val deadline = exchange.deadline(route.timeout)
         online.serve(OnlineRequest(exchange, id, route, service, workspace, body, deadline))
