--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerService.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerService.kt
@@ -43,6 +43,9 @@
     /** Requests that have no final answer yet. */
     val openRequests: Int get() = open.size
 
+    /** Whether a connection of a caller is open, be it only since the caller has not yet read the end of its answer. */
+    val hasConnections: Boolean get() = connections.isNotEmpty()
+
     /** Listens for callers on [address], and for the balancer on [readyAddress] where that is another. */
     suspend fun listen(
         address: String,
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
@@ -193,7 +193,7 @@
             stopPlan = plan
             logger.info("stopping open_requests={}", callers.openRequests)
             leave()
-            while (!plan.isOver(clock.now(), openWork = callers.openRequests > 0 || !runner.isEmpty)) {
+            while (!plan.isOver(clock.now(), openWork = hasOpenWork())) {
                 if (!plan.takesRequests(clock.now())) {
                     callers.closeIdleConnections()
                 }
@@ -206,6 +206,10 @@
         }
     }
 
+    /** Whether there is work to finish before this process ends; a connection closes once its last answer is sent. */
+    private fun hasOpenWork(): Boolean =
+        callers.openRequests > 0 || callers.hasConnections || !runner.isEmpty
+
     private fun launchLoops(bound: WireAddress) {
         keepers.values.forEach { keeper -> launchLoop("view of ${keeper.view.kind}", keeper::run) }
         launchLoop("membership") { members.run(memberOf(bound)) }
