--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
@@ -208,7 +208,7 @@
 
     /** Whether there is work to finish before this process ends; a connection closes once its last answer is sent. */
     private fun hasOpenWork(): Boolean =
-        callers.openRequests > 0 || callers.hasConnections || !runner.isEmpty
+        callers.openRequests > 0 || callers.hasConnections || !runner.isEmpty || relay.isHelping
 
     private fun launchLoops(bound: WireAddress) {
         keepers.values.forEach { keeper -> launchLoop("view of ${keeper.view.kind}", keeper::run) }
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/StoreRelay.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/StoreRelay.kt
@@ -47,8 +47,12 @@
 ) : ObjectStore by store {
     private val open = HashMap<Long, CompletableDeferred<RelayedReply>>()
     private var calls = 0L
+    private var callsForOthers = 0
     private var paths = StorePaths()
 
+    /** Whether a call for another process is under way here. */
+    val isHelping: Boolean get() = callsForOthers > 0
+
     override suspend fun get(key: ObjectKey): Result<StoredObject, StoreFailure> =
         called(RelayedVerb.GET, key.path, own = { store.get(key) }) { reply ->
             val stored = reply.objects.firstOrNull()
@@ -79,7 +83,14 @@
         from: HostName,
         call: RelayedCall,
     ) {
-        scope.launch { send(from, made(call)) }
+        callsForOthers++
+        scope.launch {
+            try {
+                send(from, made(call))
+            } finally {
+                callsForOthers--
+            }
+        }
     }
 
     fun received(reply: RelayedReply) {
