--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
@@ -78,7 +78,7 @@
     private val rates = SharedRates()
     private val headers = RequestHeaders(deployment.headers)
     private val client = TargetClient(vertx, deployment.headers.requestId, clock::now)
-    private val relay = StoreRelay(deployment.store, scope, { fleet.reachable }, fleet::send, clock::now)
+    private val relay = StoreRelay(deployment.store, scope, { fleet.helpers }, fleet::send, clock::now)
     private val storage = JobStorage(relay, settings.maximumValueBytes / VALUE_OVERHEAD)
     private val board = JobBoard(storage)
     private val results = ResultsClient(fleet)
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/Fleet.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/Fleet.kt
@@ -58,6 +58,13 @@
     val reachable: Set<HostName>
         get() = heardAt.filterValues { now() - it <= SILENCE }.keys
 
+    /** Processes to ask for help: those that stay, or all that were heard of lately where none stays. */
+    val helpers: Set<HostName>
+        get() {
+            val heard = reachable
+            return (heard - leaving).ifEmpty { heard }
+        }
+
     /** Registered processes that were not heard of lately. */
     val unheard: List<HostName>
         get() {
