--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
@@ -9,7 +9,9 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
@@ -90,6 +92,7 @@
     private var configuration: ServingConfiguration? = null
     private var isLeaving = false
     private var stopPlan: StopPlan? = null
+    private var registration: Job? = null
     private val reports = PlaceReports(fleet, incarnation, places, rates, clock::now, { isLeaving }, ::entryFleet)
 
     private val configurationKeeper = keeper(deployment.configuration.kind, CONFIGURATION_TIMES, ::takeConfiguration)
@@ -201,7 +204,11 @@
             }
             logger.info("closing connections open_requests={} jobs_released={}", callers.openRequests, runner.isEmpty)
             callers.endAll()
-            withTimeoutOrNull(STOP_MARGIN / 2) { members.remove() }
+            withTimeoutOrNull(STOP_MARGIN / 2) {
+                // Its loop would register this process again as soon as it learns of the removal.
+                registration?.cancelAndJoin()
+                members.remove()
+            }
             logger.info("stopped")
         }
     }
@@ -212,7 +219,7 @@
 
     private fun launchLoops(bound: WireAddress) {
         keepers.values.forEach { keeper -> launchLoop("view of ${keeper.view.kind}", keeper::run) }
-        launchLoop("membership") { members.run(memberOf(bound)) }
+        registration = launchLoop("membership") { members.run(memberOf(bound)) }
         launchLoop("reports", reports::run)
         launchLoop("ticks", ::tickLoop)
         if (isRunner) {
@@ -226,7 +233,7 @@
     private fun launchLoop(
         name: String,
         loop: suspend () -> Unit,
-    ) {
+    ): Job =
         scope.launch {
             while (true) {
                 try {
@@ -239,7 +246,6 @@
                 delay(LOOP_RETRY)
             }
         }
-    }
 
     private suspend fun tickLoop() {
         while (true) {
