--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerService.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerService.kt
@@ -43,6 +43,9 @@
     /** Requests that have no final answer yet. */
     val openRequests: Int get() = open.size
 
+    /** Whether a connection of a caller is open, be it only since the caller has not yet read the end of its answer. */
+    val hasConnections: Boolean get() = connections.isNotEmpty()
+
     /** Listens for callers on [address], and for the balancer on [readyAddress] where that is another. */
     suspend fun listen(
         address: String,
@@ -186,6 +189,9 @@
             return refuse(exchange, RefusalReason.RATE_LIMITED, wait)
         }
         val body = exchange.body() ?: return refuse(exchange, RefusalReason.TOO_LARGE)
+        if (!state.takesRequests()) {
+            return refuse(exchange, RefusalReason.SHUTTING_DOWN, STOP_RETRY_AFTER)
+        }
         val service = route.serviceFor(exchange.id) ?: return refuse(exchange, RefusalReason.NO_TARGET)
         val deadline = exchange.deadline(route.timeout)
         online.serve(OnlineRequest(exchange, id, route, service, workspace, body, deadline))
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
@@ -9,7 +9,9 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
@@ -78,7 +80,7 @@
     private val rates = SharedRates()
     private val headers = RequestHeaders(deployment.headers)
     private val client = TargetClient(vertx, deployment.headers.requestId, clock::now)
-    private val relay = StoreRelay(deployment.store, scope, { fleet.reachable }, fleet::send, clock::now)
+    private val relay = StoreRelay(deployment.store, scope, { fleet.helpers }, fleet::send, clock::now)
     private val storage = JobStorage(relay, settings.maximumValueBytes / VALUE_OVERHEAD)
     private val board = JobBoard(storage)
     private val results = ResultsClient(fleet)
@@ -90,6 +92,7 @@
     private var configuration: ServingConfiguration? = null
     private var isLeaving = false
     private var stopPlan: StopPlan? = null
+    private var registration: Job? = null
     private val reports = PlaceReports(fleet, incarnation, places, rates, clock::now, { isLeaving }, ::entryFleet)
 
     private val configurationKeeper = keeper(deployment.configuration.kind, CONFIGURATION_TIMES, ::takeConfiguration)
@@ -193,7 +196,7 @@
             stopPlan = plan
             logger.info("stopping open_requests={}", callers.openRequests)
             leave()
-            while (!plan.isOver(clock.now(), openWork = callers.openRequests > 0 || !runner.isEmpty)) {
+            while (!plan.isOver(clock.now(), openWork = hasOpenWork())) {
                 if (!plan.takesRequests(clock.now())) {
                     callers.closeIdleConnections()
                 }
@@ -201,14 +204,22 @@
             }
             logger.info("closing connections open_requests={} jobs_released={}", callers.openRequests, runner.isEmpty)
             callers.endAll()
-            withTimeoutOrNull(STOP_MARGIN / 2) { members.remove() }
+            withTimeoutOrNull(STOP_MARGIN / 2) {
+                // Its loop would register this process again as soon as it learns of the removal.
+                registration?.cancelAndJoin()
+                members.remove()
+            }
             logger.info("stopped")
         }
     }
 
+    /** Whether there is work to finish before this process ends; a connection closes once its last answer is sent. */
+    private fun hasOpenWork(): Boolean =
+        callers.openRequests > 0 || callers.hasConnections || !runner.isEmpty || relay.isHelping
+
     private fun launchLoops(bound: WireAddress) {
         keepers.values.forEach { keeper -> launchLoop("view of ${keeper.view.kind}", keeper::run) }
-        launchLoop("membership") { members.run(memberOf(bound)) }
+        registration = launchLoop("membership") { members.run(memberOf(bound)) }
         launchLoop("reports", reports::run)
         launchLoop("ticks", ::tickLoop)
         if (isRunner) {
@@ -222,7 +233,7 @@
     private fun launchLoop(
         name: String,
         loop: suspend () -> Unit,
-    ) {
+    ): Job =
         scope.launch {
             while (true) {
                 try {
@@ -235,7 +246,6 @@
                 delay(LOOP_RETRY)
             }
         }
-    }
 
     private suspend fun tickLoop() {
         while (true) {
