--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerService.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerService.kt
@@ -38,13 +38,14 @@
     private val now: () -> Instant,
 ) {
     private val connections = HashSet<HttpConnection>()
+    private val closing = HashSet<HttpConnection>()
     private val open = LinkedHashSet<CallerExchange>()
 
     /** Requests that have no final answer yet. */
     val openRequests: Int get() = open.size
 
-    /** Whether a connection of a caller is open, be it only since the caller has not yet read the end of its answer. */
-    val hasConnections: Boolean get() = connections.isNotEmpty()
+    /** Whether a connection is still closing, as its caller has not yet read the end of an answer. */
+    val hasUnreadAnswers: Boolean get() = closing.isNotEmpty()
 
     /** Listens for callers on [address], and for the balancer on [readyAddress] where that is another. */
     suspend fun listen(
@@ -58,7 +59,7 @@
     /** Closes the connections of callers on which no request is open. */
     fun closeIdleConnections() {
         val busy = open.mapTo(HashSet()) { it.connection }
-        connections.filter { it !in busy }.forEach { it.close() }
+        connections.filter { it !in busy && closing.add(it) }.forEach { it.close() }
     }
 
     /** Ends all requests, with an answer where none has begun, and closes all connections of callers. */
@@ -89,7 +90,10 @@
             .createHttpServer(HttpServerOptions().setMaxHeaderSize(MAXIMUM_HEADER_BYTES).setTcpNoDelay(true))
             .connectionHandler { connection ->
                 connections.add(connection)
-                connection.closeHandler { connections.remove(connection) }
+                connection.closeHandler {
+                    connections.remove(connection)
+                    closing.remove(connection)
+                }
             }.requestHandler(::handle)
             .listen(parsed.port, parsed.host)
             .coAwait()
@@ -141,6 +145,8 @@
         call: CallerCall,
     ) {
         if (!state.takesRequests()) {
+            // Read first, as a connection that is closed under a body loses the refusal.
+            exchange.body()
             return refuse(exchange, RefusalReason.SHUTTING_DOWN, STOP_RETRY_AFTER)
         }
         when (call) {
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
@@ -196,12 +196,7 @@
             stopPlan = plan
             logger.info("stopping open_requests={}", callers.openRequests)
             leave()
-            while (!plan.isOver(clock.now(), openWork = hasOpenWork())) {
-                if (!plan.takesRequests(clock.now())) {
-                    callers.closeIdleConnections()
-                }
-                delay(STOP_INTERVAL)
-            }
+            finishOpenWork(plan)
             logger.info("closing connections open_requests={} jobs_released={}", callers.openRequests, runner.isEmpty)
             callers.endAll()
             withTimeoutOrNull(STOP_MARGIN / 2) {
@@ -213,9 +208,22 @@
         }
     }
 
+    /** Waits until [plan] ends, closing connections of callers as they fall idle. */
+    private suspend fun finishOpenWork(plan: StopPlan) {
+        while (true) {
+            if (!plan.takesRequests(clock.now())) {
+                callers.closeIdleConnections()
+            }
+            if (plan.isOver(clock.now(), hasOpenWork())) {
+                return
+            }
+            delay(STOP_INTERVAL)
+        }
+    }
+
     /** Whether there is work to finish before this process ends; a connection closes once its last answer is sent. */
     private fun hasOpenWork(): Boolean =
-        callers.openRequests > 0 || callers.hasConnections || !runner.isEmpty || relay.isHelping
+        callers.openRequests > 0 || callers.hasUnreadAnswers || !runner.isEmpty || relay.isHelping
 
     private fun launchLoops(bound: WireAddress) {
         keepers.values.forEach { keeper -> launchLoop("view of ${keeper.view.kind}", keeper::run) }
@@ -363,7 +371,7 @@
     }
 
     private suspend fun emptyHost() {
-        while (!runner.isEmpty) {
+        while (!runner.isEmpty || relay.isHelping) {
             delay(STOP_INTERVAL)
         }
         while (!deployment.reportRemoved(settings.host.name)) {
