--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeTarget.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeTarget.kt
@@ -5,18 +5,21 @@
 import io.vertx.core.http.HttpServerResponse
 import io.vertx.kotlin.coroutines.coAwait
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicLong
 
 /**
  * A target that streams numbered events.
  *
  * @property events number of events of each stream
  * @property pauseMilliseconds time between two events
+ * @property eventBytes bytes by which each event is longer than its number needs
  */
 internal class FakeTarget(
     private val vertx: Vertx,
     val name: String,
     private val events: Int = 10,
     private val pauseMilliseconds: Long = 5,
+    private val eventBytes: Int = 0,
 ) {
     /** Requests that came, as identity and the event after which they go on. */
     val requests = CopyOnWriteArrayList<String>()
@@ -37,6 +40,13 @@
     @Volatile
     var isSilent = false
 
+    /** Returns what a request of the given identity gets without end, or null where it gets a stream. */
+    @Volatile
+    var endless: (id: String) -> EndlessPiece? = { null }
+
+    /** Connections on which bytes without end were begun, with the number sent and whether they were closed. */
+    val endlessAnswers = CopyOnWriteArrayList<EndlessAnswer>()
+
     /** Streams that run now. */
     @Volatile
     var running = 0
@@ -65,7 +75,39 @@
                 isSilent -> Unit
                 refuses -> response.putHeader("Not-Run", "1").setStatusCode(503).end()
                 status != 200 -> response.setStatusCode(status).end("failed")
-                else -> stream(response.setChunked(true), after + 1)
+                else -> streamOrEndless(id.orEmpty(), response.setChunked(true), after + 1)
+            }
+        }
+    }
+
+    private fun streamOrEndless(
+        id: String,
+        response: HttpServerResponse,
+        first: Int,
+    ) {
+        val piece = endless(id) ?: return stream(response, first)
+        val answer = EndlessAnswer()
+        endlessAnswers += answer
+        response.closeHandler { answer.isClosed = true }
+        response.exceptionHandler { answer.isClosed = true }
+        sendEndless(response, piece, answer)
+    }
+
+    private fun sendEndless(
+        response: HttpServerResponse,
+        piece: EndlessPiece,
+        answer: EndlessAnswer,
+    ) {
+        while (!answer.isClosed && answer.bytes.get() < EndlessTarget.MOST_BYTES) {
+            answer.bytes.addAndGet(piece.text.length.toLong())
+            response.write(piece.text)
+            if (piece.pauseMilliseconds != null) {
+                vertx.setTimer(piece.pauseMilliseconds) { sendEndless(response, piece, answer) }
+                return
+            }
+            if (response.writeQueueFull()) {
+                response.drainHandler { sendEndless(response, piece, answer) }
+                return
             }
         }
     }
@@ -100,9 +142,23 @@
             }
 
             else -> {
-                response.write("id: $number\ndata: event $number\n\n")
+                response.write("id: $number\ndata: event $number${"x".repeat(eventBytes)}\n\n")
                 vertx.setTimer(pauseMilliseconds) { send(response, number + 1) }
             }
         }
     }
+
+    /** [text] is sent again and again, at once or with a pause between. */
+    data class EndlessPiece(
+        val text: String,
+        val pauseMilliseconds: Long? = null,
+    )
+
+    /** An answer without end. */
+    class EndlessAnswer {
+        val bytes = AtomicLong()
+
+        @Volatile
+        var isClosed = false
+    }
 }
