--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineHandler.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineHandler.kt
@@ -2,7 +2,6 @@
 
 import com.github.michaelbull.result.fold
 import io.vertx.core.buffer.Buffer
-import kotlinx.coroutines.channels.ReceiveChannel
 import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
 import tanagerlane.model.RefusalReason
@@ -11,6 +10,7 @@
 import tanagerlane.places.DirectTarget
 import tanagerlane.places.PlaceBook
 import tanagerlane.places.Placement
+import tanagerlane.runtime.AnswerPieces
 import tanagerlane.serving.AttemptEnd
 import tanagerlane.serving.NextStep
 import tanagerlane.serving.RouteKind
@@ -210,7 +210,7 @@
     }
 
     /** Returns the whole body, or null when it broke off. */
-    private suspend fun contentOf(pieces: ReceiveChannel<Buffer>): Buffer? {
+    private suspend fun contentOf(pieces: AnswerPieces): Buffer? {
         val content = Buffer.buffer()
         while (true) {
             val piece = pieces.receiveCatching()
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetAnswer.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetAnswer.kt
@@ -1,9 +1,7 @@
 package tanagerlane.direct
 
 import io.vertx.core.MultiMap
-import io.vertx.core.buffer.Buffer
-import kotlinx.coroutines.channels.Channel
-import kotlinx.coroutines.channels.ReceiveChannel
+import tanagerlane.runtime.AnswerPieces
 
 /**
  * The answer of a target, whose body is still on its way.
@@ -15,11 +13,9 @@
     val status: Int,
     val headers: MultiMap,
     val hasLength: Boolean,
-    private val body: Channel<Buffer>,
+    val pieces: AnswerPieces,
     private val release: () -> Unit,
 ) {
-    val pieces: ReceiveChannel<Buffer> get() = body
-
     /** Whether the target says that it has not run the request. */
     fun isNotRun(names: HeaderNames): Boolean = isMisdirected || headers.contains(names.notRun)
 
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetClient.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetClient.kt
@@ -14,10 +14,10 @@
 import io.vertx.core.http.RequestOptions
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
 import tanagerlane.places.DirectTarget
+import tanagerlane.runtime.AnswerPieces
 import tanagerlane.wire.WireAddress
 import java.io.IOException
 import kotlin.time.Duration
@@ -111,7 +111,7 @@
     private val id: String,
     private val requestIdHeader: String,
 ) {
-    private val body = Channel<Buffer>(Channel.UNLIMITED)
+    private val body = AnswerPieces()
     private var isWritten = false
     private var isWhole = false
 
@@ -141,22 +141,19 @@
 
     /** Sets the handlers before the first byte of the body can come. */
     private fun listen(response: HttpClientResponse): HttpClientResponse {
-        response.handler { body.trySend(it) }
-        response.exceptionHandler { body.close(it) }
-        response.endHandler { ended(response) }
+        body.listen(response) { ended(response) }
         return response
     }
 
-    private fun ended(response: HttpClientResponse) {
+    /** Returns what is wrong with the answer, or null; before the receiver hears of the end and asks for a connection. */
+    private fun ended(response: HttpClientResponse): IOException? {
         val cut = connection.fault
         if (cut != null) {
-            body.close(IOException("connection broke: $cut"))
-            return
+            return IOException("connection broke: $cut")
         }
         isWhole = true
         if (isWritten && mayKeep(response)) idle.put(connection, keepTimeOf(response)) else connection.close()
-        // Last, since the receiver may go on at once and ask for a connection.
-        body.close()
+        return null
     }
 
     private fun answerOf(response: HttpClientResponse): Result<TargetAnswer, CallFault> {
--- /dev/null
+++ b/tanagerlane-runtime/src/main/kotlin/tanagerlane/runtime/AnswerPieces.kt
@@ -0,0 +1,68 @@
+package tanagerlane.runtime
+
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpClientResponse
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.channels.ChannelResult
+
+/**
+ * The pieces of an answer's body, as far as they have come and were not taken.
+ *
+ * Over [MAXIMUM_HELD_BYTES] the connection is not read until half of them were taken, so a sender without end waits at
+ * its own socket. Safe for one thread that receives beside the event loop that brings the pieces.
+ */
+public class AnswerPieces {
+    private val pieces = Channel<Buffer>(Channel.UNLIMITED)
+    private val lock = Any()
+    private var heldBytes = 0
+    private var paused: HttpClientResponse? = null
+
+    /** Takes the body of [response]; [onEnd] runs at its end and returns what is wrong with it, or null. */
+    public fun listen(
+        response: HttpClientResponse,
+        onEnd: () -> Throwable?,
+    ) {
+        response.handler { add(response, it) }
+        response.exceptionHandler { pieces.close(it) }
+        response.endHandler { pieces.close(onEnd()) }
+    }
+
+    /** Waits for the next piece; closed at the end of the body, with a cause where it broke off. */
+    public suspend fun receiveCatching(): ChannelResult<Buffer> = taken(pieces.receiveCatching())
+
+    /** Returns the next piece, or a failure when there is none yet. */
+    public fun tryReceive(): ChannelResult<Buffer> = taken(pieces.tryReceive())
+
+    private fun add(
+        response: HttpClientResponse,
+        piece: Buffer,
+    ) {
+        synchronized(lock) {
+            heldBytes += piece.length()
+            if (heldBytes > MAXIMUM_HELD_BYTES && paused == null) {
+                paused = response
+                response.pause()
+            }
+        }
+        pieces.trySend(piece)
+    }
+
+    private fun taken(result: ChannelResult<Buffer>): ChannelResult<Buffer> {
+        val piece = result.getOrNull() ?: return result
+        synchronized(lock) {
+            heldBytes -= piece.length()
+            if (heldBytes <= MAXIMUM_HELD_BYTES / 2) {
+                paused?.let {
+                    paused = null
+                    it.resume()
+                }
+            }
+        }
+        return result
+    }
+
+    public companion object {
+        /** Bytes of a body that wait to be taken, 256 KiB: some reads of a socket. */
+        public const val MAXIMUM_HELD_BYTES: Int = 256 shl 10
+    }
+}
