--- a/tanagerlane-core/src/main/kotlin/tanagerlane/streams/EventAssembler.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/streams/EventAssembler.kt
@@ -7,11 +7,19 @@
  * Splits a stream into whole events, whatever pieces its bytes come in; used by one thread at a time.
  *
  * An event that a broken connection cuts short never comes out, so that a stream may go on after the last whole one.
+ *
+ * @param maximumEventBytes most bytes of one event
  */
-public class EventAssembler {
+public class EventAssembler(
+    private val maximumEventBytes: Int = AnswerLimits.MAXIMUM_EVENT_BYTES,
+) {
     private val event = ByteArrayOutputStream()
     private var isLineEmpty = true
 
+    /** Whether an event went over its most bytes; nothing comes out from then on. */
+    public var isOverlong: Boolean = false
+        private set
+
     /** Whether bytes of an unfinished event are held. */
     public val isInsideEvent: Boolean get() = event.size() > 0
 
@@ -19,6 +27,10 @@
     public fun accept(bytes: ByteArray): List<StreamEvent> {
         val events = ArrayList<StreamEvent>()
         for (byte in bytes) {
+            if (isOverlong || event.size() >= maximumEventBytes) {
+                isOverlong = true
+                return events
+            }
             event.write(byte.toInt())
             if (byte == LINE_FEED) {
                 if (isLineEmpty) {
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/streams/EventAssemblerTest.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/streams/EventAssemblerTest.kt
@@ -59,8 +59,46 @@
                 }
             }
         }
+
+        data class LimitCase(
+            val name: String,
+            val text: String,
+            val events: List<StreamEvent>,
+            val isOverlong: Boolean,
+        )
+        listOf(
+            LimitCase(
+                "an event of the most bytes",
+                "data: abcd\n\n",
+                listOf(event(null, "abcd", "data: abcd\n\n")),
+                false,
+            ),
+            LimitCase("an event of one byte more", "data: abcde\n\n", emptyList(), true),
+            LimitCase("lines without end", "data: a\ndata: b\ndata: c\n", emptyList(), true),
+            LimitCase(
+                "what follows an event that is too long",
+                "data: a\n\ndata: abcdef\n\ndata: b\n\n",
+                listOf(event(null, "a", "data: a\n\n")),
+                true,
+            ),
+        ).forEach { case ->
+            listOf(1, 3, Int.MAX_VALUE).forEach { size ->
+                test("${case.name}, at most $LIMIT bytes, in pieces of $size") {
+                    val assembler = EventAssembler(LIMIT)
+                    val pieces =
+                        case.text
+                            .encodeToByteArray()
+                            .toList()
+                            .chunked(size)
+                    pieces.flatMap { assembler.accept(it.toByteArray()) } shouldBe case.events
+                    assembler.isOverlong shouldBe case.isOverlong
+                }
+            }
+        }
     }) {
     private companion object {
+        const val LIMIT = 12
+
         fun event(
             id: Long?,
             data: String,
--- /dev/null
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/BegunEvent.kt
@@ -0,0 +1,28 @@
+package tanagerlane.direct
+
+import kotlin.time.Duration
+import kotlin.time.Instant
+
+/** How long an event has been on its way; one that grows by a byte now and then never ends otherwise. */
+internal class BegunEvent(
+    private val longest: Duration,
+) {
+    private var since: Instant? = null
+
+    /** Notes that a piece has come; [isInside] tells whether it left an event unfinished, [hasEnded] whether it ended one. */
+    fun note(
+        isInside: Boolean,
+        hasEnded: Boolean,
+        now: Instant,
+    ) {
+        since =
+            when {
+                !isInside -> null
+                hasEnded -> now
+                else -> since ?: now
+            }
+    }
+
+    /** Returns the time that the event has left; infinite where none has begun. */
+    fun timeLeft(now: Instant): Duration = since?.let { longest - (now - it) } ?: Duration.INFINITE
+}
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ItemRunner.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ItemRunner.kt
@@ -7,14 +7,18 @@
 import org.slf4j.LoggerFactory
 import tanagerlane.joblog.JobCard
 import tanagerlane.places.DirectTarget
+import tanagerlane.runtime.MonotonicClock
+import tanagerlane.streams.AnswerLimits
 import tanagerlane.streams.EventAssembler
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
 
 /** Runs items of jobs at targets, going on where an earlier run stopped. */
 internal class ItemRunner(
     private val client: TargetClient,
     private val headers: RequestHeaders,
     private val names: HeaderNames,
+    private val now: () -> Instant = MonotonicClock()::now,
 ) {
     /** Runs an item at [target] and adds to [progress] what comes; cancellation stops the run at the target. */
     suspend fun run(
@@ -75,23 +79,44 @@
         progress: ItemProgress,
     ): ItemEnding {
         val assembler = EventAssembler()
+        val begun = BegunEvent(LONGEST_EVENT)
         while (true) {
-            val piece = withTimeoutOrNull(LONGEST_SILENCE) { answer.pieces.receiveCatching() }
+            val patience = minOf(LONGEST_SILENCE, begun.timeLeft(now()))
+            val piece = withTimeoutOrNull(patience) { answer.pieces.receiveCatching() }
             if (piece == null || piece.exceptionOrNull() != null) {
-                return ItemEnding.BROKEN
+                return broken(progress, piece?.exceptionOrNull()?.toString() ?: "no whole event, waited $patience")
             }
             val bytes = piece.getOrNull() ?: break
-            assembler.accept(bytes.bytes).forEach(progress::add)
+            val events = assembler.accept(bytes.bytes)
+            if (!events.all(progress::add)) {
+                logger.info("item too long item={} events={}", progress.item.id, progress.events)
+                return ItemEnding.FAILED
+            }
+            if (assembler.isOverlong) {
+                return broken(progress, "event over ${AnswerLimits.MAXIMUM_EVENT_BYTES} bytes")
+            }
+            begun.note(assembler.isInsideEvent, events.isNotEmpty(), now())
         }
         val isWhole = answer.hasLength && !assembler.isInsideEvent
         return if (isWhole) ItemEnding.WHOLE else ItemEnding.BROKEN
     }
 
+    private fun broken(
+        progress: ItemProgress,
+        cause: String,
+    ): ItemEnding {
+        logger.info("item broke off item={} last_event={} cause={}", progress.item.id, progress.lastEvent, cause)
+        return ItemEnding.BROKEN
+    }
+
     private companion object {
         const val IMPOSSIBLE = 422
         val SUCCESS = 200..299
         val HEAD_PATIENCE = 3.seconds
         val LONGEST_SILENCE = 1.seconds
+
+        /** Time for the whole of one event once it has begun. */
+        val LONGEST_EVENT = 5.seconds
         val logger = LoggerFactory.getLogger(ItemRunner::class.java)
     }
 }
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineHandler.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineHandler.kt
@@ -14,6 +14,7 @@
 import tanagerlane.serving.AttemptEnd
 import tanagerlane.serving.NextStep
 import tanagerlane.serving.RouteKind
+import tanagerlane.streams.AnswerLimits
 import tanagerlane.streams.EventAssembler
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -209,7 +210,7 @@
         return null
     }
 
-    /** Returns the whole body, or null when it broke off. */
+    /** Returns the whole body, or null when it broke off or is over [AnswerLimits.MAXIMUM_ANSWER_BYTES]. */
     private suspend fun contentOf(pieces: AnswerPieces): Buffer? {
         val content = Buffer.buffer()
         while (true) {
@@ -219,6 +220,10 @@
                 return null
             }
             content.appendBuffer(piece.getOrNull() ?: return content)
+            if (content.length() > AnswerLimits.MAXIMUM_ANSWER_BYTES) {
+                logger.info("body too long bytes={} most={}", content.length(), AnswerLimits.MAXIMUM_ANSWER_BYTES)
+                return null
+            }
         }
     }
 
@@ -228,19 +233,25 @@
         answer: TargetAnswer,
     ): AttemptEnd? {
         val assembler = EventAssembler()
+        val begun = BegunEvent(silenceBound(request) * SILENCES_OF_EVENT)
         while (true) {
-            val silence = minOf(request.deadline - now(), silenceBound(request))
+            val silence = minOf(request.deadline - now(), silenceBound(request), begun.timeLeft(now()))
             val piece =
                 answer.pieces.tryReceive().takeIf { it.isSuccess }
                     ?: withTimeoutOrNull(silence) { answer.pieces.receiveCatching() }
-                    ?: return broken(request, target, "silent for $silence")
+                    ?: return broken(request, target, "no whole event, waited $silence for its next bytes")
             piece.exceptionOrNull()?.let { return broken(request, target, it.toString()) }
             val bytes = piece.getOrNull() ?: break
-            for (event in assembler.accept(bytes.bytes)) {
+            val events = assembler.accept(bytes.bytes)
+            for (event in events) {
                 begin(request, answer)
                 request.lastEvent = event.id ?: request.lastEvent
                 request.exchange.write(Buffer.buffer(event.bytes.toByteArray()))
             }
+            if (assembler.isOverlong) {
+                return broken(request, target, "event over ${AnswerLimits.MAXIMUM_EVENT_BYTES} bytes")
+            }
+            begun.note(assembler.isInsideEvent, events.isNotEmpty(), now())
         }
         if (assembler.isInsideEvent || !answer.hasLength) {
             return broken(request, target, "ended in the middle")
@@ -319,6 +330,9 @@
         /** Pauses between events after which a stream is taken to be lost. */
         const val PAUSES_OF_SILENCE = 2
         val LONGEST_SILENCE = 30_000.milliseconds
+
+        /** Time for the whole of one event, in longest silences. */
+        const val SILENCES_OF_EVENT = 4
         val RETRY_AFTER = 300.milliseconds
         val logger = LoggerFactory.getLogger(OnlineHandler::class.java)
     }
