--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/IdleConnections.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/IdleConnections.kt
@@ -4,9 +4,14 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
-/** Connections that wait for their next request, the one used last first. */
+/**
+ * Connections that wait for their next request, the one used last first.
+ *
+ * @param later runs an action on the same thread once a time has passed
+ */
 internal class IdleConnections(
     private val now: () -> Instant,
+    private val later: (time: Duration, action: () -> Unit) -> Unit,
 ) {
     private val byAddress = HashMap<String, ArrayDeque<IdleConnection>>()
 
@@ -30,13 +35,27 @@
         }
     }
 
-    /** Keeps [connection] for half of [keepTime], the time after which the target closes it. */
+    /**
+     * Keeps [connection] for half of [keepTime], the time after which the target closes it, and then closes it.
+     *
+     * Bytes that come meanwhile belong to no request; where they don't end the connection at once, its time does.
+     */
     fun put(
         connection: TargetConnection,
         keepTime: Duration?,
     ) {
-        val usable = (keepTime ?: DEFAULT_KEEP_TIME) / 2
-        byAddress.getOrPut(connection.address) { ArrayDeque() }.addLast(IdleConnection(connection, now() + usable))
+        val usable = minOf(keepTime ?: DEFAULT_KEEP_TIME, LONGEST_KEEP_TIME) / 2
+        val idle = IdleConnection(connection, now() + usable)
+        byAddress.getOrPut(connection.address) { ArrayDeque() }.addLast(idle)
+        later(usable) { closeIfWaiting(idle) }
+    }
+
+    /** Closes the connection of [idle] unless it was taken, however often it may have been put back since. */
+    private fun closeIfWaiting(idle: IdleConnection) {
+        val waiting = byAddress[idle.connection.address] ?: return
+        if (waiting.removeAll { it === idle }) {
+            idle.connection.close()
+        }
     }
 
     fun keepOnly(addresses: Set<String>) {
@@ -45,12 +64,16 @@
         }
     }
 
-    private data class IdleConnection(
+    /** Told apart by identity: a connection that is put back waits anew. */
+    private class IdleConnection(
         val connection: TargetConnection,
         val usableUntil: Instant,
     )
 
     private companion object {
         val DEFAULT_KEEP_TIME = 2.seconds
+
+        /** Longest keep time of a target that is taken at its word. */
+        val LONGEST_KEEP_TIME = 120.seconds
     }
 }
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetClient.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetClient.kt
@@ -42,7 +42,8 @@
             HttpClientOptions().setKeepAlive(true).setPipelining(false).setTcpNoDelay(true),
             PoolOptions().setHttp1MaxSize(1),
         )
-    private val idle = IdleConnections(now)
+    private val idle =
+        IdleConnections(now) { time, action -> vertx.setTimer(time.inWholeMilliseconds + 1) { action() } }
 
     /** Sends [request] to [target]; the head of the answer must come within [patience]. */
     suspend fun call(
@@ -114,6 +115,7 @@
     private val body = AnswerPieces()
     private var isWritten = false
     private var isWhole = false
+    private var interimAnswers = 0
 
     suspend fun run(request: TargetRequest): Result<TargetAnswer, CallFault> {
         var isSent = false
@@ -122,12 +124,25 @@
             val options = RequestOptions().setMethod(request.method).setURI(request.uri).setHeaders(request.headers)
             val outgoing = connection.opened.request(options).coAwait()
             isSent = true
+            outgoing.continueHandler { noteInterim() }
+            outgoing.earlyHintsHandler { noteInterim() }
             val response = sent(outgoing, request.body).coAwait()
             answerOf(response)
         } catch (exception: CancellationException) {
             throw exception
         } catch (exception: Exception) {
-            Err(if (isSent) CallFault.Lost(exception.toString()) else CallFault.NotSent(exception.toString()))
+            Err(if (isSent) CallFault.Lost(causeOf(exception)) else CallFault.NotSent(exception.toString()))
+        }
+    }
+
+    private fun causeOf(exception: Exception): String =
+        if (interimAnswers > MAXIMUM_INTERIM_ANSWERS) "$interimAnswers interim answers" else exception.toString()
+
+    /** Interim answers take up no memory, but a target that sends nothing else has none to give. */
+    private fun noteInterim() {
+        interimAnswers++
+        if (interimAnswers > MAXIMUM_INTERIM_ANSWERS) {
+            connection.close()
         }
     }
 
@@ -161,6 +176,9 @@
         if (answered != id) {
             return Err(CallFault.Lost("answer of another request: $answered"))
         }
+        if (response.statusCode() < FIRST_FINAL_STATUS) {
+            return Err(CallFault.Lost("answer is an interim one: ${response.statusCode()}"))
+        }
         return Ok(
             TargetAnswer(response.statusCode(), response.headers(), hasLength(response), body) {
                 if (!isWhole) connection.close()
@@ -186,5 +204,11 @@
 
     private companion object {
         const val MILLISECONDS = 1000
+
+        /** Most answers 100 and 103 before the final one; targets send one of each at most. */
+        const val MAXIMUM_INTERIM_ANSWERS = 16
+
+        /** Answers with a lower status announce another one, which this client can't wait for. */
+        const val FIRST_FINAL_STATUS = 200
     }
 }
