--- /dev/null
+++ b/tanagerlane-sidecar/src/test/kotlin/tanagerlane/sidecar/EndlessTarget.kt
@@ -0,0 +1,106 @@
+package tanagerlane.sidecar
+
+import io.vertx.core.Vertx
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.net.NetSocket
+import io.vertx.kotlin.coroutines.coAwait
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicLong
+
+/**
+ * A target that sends bytes without end, as fast as they are taken, until its caller closes the connection.
+ *
+ * @property mostBytes bytes after which it falls silent, so that a caller who takes everything does not fill the machine
+ */
+internal class EndlessTarget(
+    private val vertx: Vertx,
+    private val mostBytes: Long = MOST_BYTES,
+) {
+    /** What is sent once, when a request has come. */
+    @Volatile
+    var beginning = ""
+
+    /** What is sent again and again after that. */
+    @Volatile
+    var rest = ""
+
+    /** Time between two pieces, or null where they follow at once. */
+    @Volatile
+    var pauseMilliseconds: Long? = null
+
+    /** Connections that were made, in order. */
+    val connections = CopyOnWriteArrayList<Connection>()
+
+    var port = 0
+        private set
+
+    val url: String get() = "http://127.0.0.1:$port"
+
+    suspend fun start(): EndlessTarget {
+        port =
+            vertx
+                .createNetServer()
+                .connectHandler(::serve)
+                .listen(0, "127.0.0.1")
+                .coAwait()
+                .actualPort()
+        return this
+    }
+
+    private fun serve(socket: NetSocket) {
+        val connection = Connection()
+        connections += connection
+        socket.closeHandler { connection.isClosed = true }
+        socket.exceptionHandler { connection.isClosed = true }
+        var received = ""
+        socket.handler { piece ->
+            received += piece.toString()
+            if (received.contains("\r\n\r\n") && connection.requests.get() == 0L) {
+                connection.requests.incrementAndGet()
+                write(socket, connection, Buffer.buffer(beginning))
+                send(socket, connection, Buffer.buffer(rest))
+            }
+        }
+    }
+
+    private fun send(
+        socket: NetSocket,
+        connection: Connection,
+        piece: Buffer,
+    ) {
+        val pause = pauseMilliseconds
+        while (!connection.isClosed && connection.bytes.get() < mostBytes && piece.length() > 0) {
+            write(socket, connection, piece)
+            if (pause != null) {
+                vertx.setTimer(pause) { send(socket, connection, piece) }
+                return
+            }
+            if (socket.writeQueueFull()) {
+                socket.drainHandler { send(socket, connection, piece) }
+                return
+            }
+        }
+    }
+
+    private fun write(
+        socket: NetSocket,
+        connection: Connection,
+        piece: Buffer,
+    ) {
+        connection.bytes.addAndGet(piece.length().toLong())
+        socket.write(piece)
+    }
+
+    /** A connection that was made to the target. */
+    class Connection {
+        val bytes = AtomicLong()
+        val requests = AtomicLong()
+
+        @Volatile
+        var isClosed = false
+    }
+
+    companion object {
+        const val MOST_BYTES = 96L shl 20
+    }
+}
