--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/BegunEvent.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/streams/BegunEvent.kt
@@ -1,16 +1,20 @@
-package tanagerlane.direct
+package tanagerlane.streams
 
 import kotlin.time.Duration
 import kotlin.time.Instant
 
-/** How long an event has been on its way; one that grows by a byte now and then never ends otherwise. */
-internal class BegunEvent(
+/**
+ * How long an event has been on its way; one that grows by a byte now and then never ends otherwise.
+ *
+ * @param longest time from the first piece of an event to its last
+ */
+public class BegunEvent(
     private val longest: Duration,
 ) {
     private var since: Instant? = null
 
     /** Notes that a piece has come; [isInside] tells whether it left an event unfinished, [hasEnded] whether it ended one. */
-    fun note(
+    public fun note(
         isInside: Boolean,
         hasEnded: Boolean,
         now: Instant,
@@ -24,5 +28,5 @@
     }
 
     /** Returns the time that the event has left; infinite where none has begun. */
-    fun timeLeft(now: Instant): Duration = since?.let { longest - (now - it) } ?: Duration.INFINITE
+    public fun timeLeft(now: Instant): Duration = since?.let { longest - (now - it) } ?: Duration.INFINITE
 }
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ItemRunner.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ItemRunner.kt
@@ -9,6 +9,7 @@
 import tanagerlane.places.DirectTarget
 import tanagerlane.runtime.MonotonicClock
 import tanagerlane.streams.AnswerLimits
+import tanagerlane.streams.BegunEvent
 import tanagerlane.streams.EventAssembler
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineHandler.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineHandler.kt
@@ -15,6 +15,7 @@
 import tanagerlane.serving.NextStep
 import tanagerlane.serving.RouteKind
 import tanagerlane.streams.AnswerLimits
+import tanagerlane.streams.BegunEvent
 import tanagerlane.streams.EventAssembler
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetClient.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetClient.kt
@@ -18,6 +18,7 @@
 import org.slf4j.LoggerFactory
 import tanagerlane.places.DirectTarget
 import tanagerlane.runtime.AnswerPieces
+import tanagerlane.runtime.InterimAnswers
 import tanagerlane.wire.WireAddress
 import java.io.IOException
 import kotlin.time.Duration
@@ -115,7 +116,7 @@
     private val body = AnswerPieces()
     private var isWritten = false
     private var isWhole = false
-    private var interimAnswers = 0
+    private var isInterimOnly = false
 
     suspend fun run(request: TargetRequest): Result<TargetAnswer, CallFault> {
         var isSent = false
@@ -124,8 +125,7 @@
             val options = RequestOptions().setMethod(request.method).setURI(request.uri).setHeaders(request.headers)
             val outgoing = connection.opened.request(options).coAwait()
             isSent = true
-            outgoing.continueHandler { noteInterim() }
-            outgoing.earlyHintsHandler { noteInterim() }
+            InterimAnswers.bound(outgoing, ::closeForInterim)
             val response = sent(outgoing, request.body).coAwait()
             answerOf(response)
         } catch (exception: CancellationException) {
@@ -136,14 +136,12 @@
     }
 
     private fun causeOf(exception: Exception): String =
-        if (interimAnswers > MAXIMUM_INTERIM_ANSWERS) "$interimAnswers interim answers" else exception.toString()
+        if (isInterimOnly) "more than ${InterimAnswers.MAXIMUM} interim answers" else exception.toString()
 
-    /** Interim answers take up no memory, but a target that sends nothing else has none to give. */
-    private fun noteInterim() {
-        interimAnswers++
-        if (interimAnswers > MAXIMUM_INTERIM_ANSWERS) {
-            connection.close()
-        }
+    /** Interim answers take up no memory, but a target that sends nothing else has no answer to give. */
+    private fun closeForInterim() {
+        isInterimOnly = true
+        connection.close()
     }
 
     private fun sent(
@@ -205,9 +203,6 @@
     private companion object {
         const val MILLISECONDS = 1000
 
-        /** Most answers 100 and 103 before the final one; targets send one of each at most. */
-        const val MAXIMUM_INTERIM_ANSWERS = 16
-
         /** Answers with a lower status announce another one, which this client can't wait for. */
         const val FIRST_FINAL_STATUS = 200
     }
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/EndlessTarget.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/EndlessTarget.kt
@@ -68,6 +68,7 @@
         piece: Buffer,
     ) {
         val pause = pauseMilliseconds
+        var left = PIECES_AT_ONCE
         while (!connection.isClosed && connection.bytes.get() < mostBytes && piece.length() > 0) {
             write(socket, connection, piece)
             if (pause != null) {
@@ -78,6 +79,11 @@
                 socket.drainHandler { send(socket, connection, piece) }
                 return
             }
+            if (--left == 0) {
+                // Lets the event loop hear of the connection's end.
+                vertx.setTimer(1) { send(socket, connection, piece) }
+                return
+            }
         }
     }
 
@@ -86,8 +92,10 @@
         connection: Connection,
         piece: Buffer,
     ) {
-        connection.bytes.addAndGet(piece.length().toLong())
-        socket.write(piece)
+        socket
+            .write(piece)
+            .onSuccess { connection.bytes.addAndGet(piece.length().toLong()) }
+            .onFailure { connection.isClosed = true }
     }
 
     /** A connection that was made to the target. */
@@ -100,6 +108,7 @@
     }
 
     companion object {
+        const val PIECES_AT_ONCE = 64
         const val MOST_BYTES = 96L shl 20
     }
 }
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeTarget.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeTarget.kt
@@ -98,9 +98,12 @@
         piece: EndlessPiece,
         answer: EndlessAnswer,
     ) {
+        var left = EndlessTarget.PIECES_AT_ONCE
         while (!answer.isClosed && answer.bytes.get() < EndlessTarget.MOST_BYTES) {
-            answer.bytes.addAndGet(piece.text.length.toLong())
-            response.write(piece.text)
+            response
+                .write(piece.text)
+                .onSuccess { answer.bytes.addAndGet(piece.text.length.toLong()) }
+                .onFailure { answer.isClosed = true }
             if (piece.pauseMilliseconds != null) {
                 vertx.setTimer(piece.pauseMilliseconds) { sendEndless(response, piece, answer) }
                 return
@@ -109,6 +112,11 @@
                 response.drainHandler { sendEndless(response, piece, answer) }
                 return
             }
+            if (--left == 0) {
+                // Lets the event loop hear of the connection's end.
+                vertx.setTimer(1) { sendEndless(response, piece, answer) }
+                return
+            }
         }
     }
 
--- a/tanagerlane-runtime/src/main/kotlin/tanagerlane/runtime/AnswerPieces.kt
+++ b/tanagerlane-runtime/src/main/kotlin/tanagerlane/runtime/AnswerPieces.kt
@@ -30,6 +30,13 @@
     /** Waits for the next piece; closed at the end of the body, with a cause where it broke off. */
     public suspend fun receiveCatching(): ChannelResult<Buffer> = taken(pieces.receiveCatching())
 
+    /** Waits for the next piece and returns it, or null at the end of the body; throws the cause where it broke off. */
+    public suspend fun next(): Buffer? {
+        val result = receiveCatching()
+        result.exceptionOrNull()?.let { throw it }
+        return result.getOrNull()
+    }
+
     /** Returns the next piece, or a failure when there is none yet. */
     public fun tryReceive(): ChannelResult<Buffer> = taken(pieces.tryReceive())
 
--- a/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/TargetClient.kt
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/TargetClient.kt
@@ -11,7 +11,7 @@
 import io.vertx.core.http.RequestOptions
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.channels.Channel
+import org.slf4j.LoggerFactory
 import tanagerlane.message.ChatWork
 import tanagerlane.message.Header
 import tanagerlane.message.Offer
@@ -20,6 +20,8 @@
 import tanagerlane.model.RefusalReason
 import tanagerlane.model.RequestId
 import tanagerlane.model.RunState
+import tanagerlane.runtime.AnswerPieces
+import tanagerlane.runtime.InterimAnswers
 import java.net.ConnectException
 
 /**
@@ -54,7 +56,8 @@
             throw exception
         } catch (_: ConnectException) {
             sink.fail(RunState.NOT_RUN, RefusalReason.NO_TARGET)
-        } catch (_: Exception) {
+        } catch (exception: Exception) {
+            logger.info("call failed request={} cause={}", offer.attempt.request, exception.toString())
             sink.fail(RunState.UNKNOWN, RefusalReason.TARGET_FAILED)
         }
     }
@@ -96,26 +99,29 @@
         try {
             // Set before the request is sent, since the answer may come whole before this thread goes on.
             val head = request.response().map(::paused)
+            InterimAnswers.bound(request) { reset(request) }
             request.end(Buffer.buffer(call.body.toByteArray()))
             val response = head.coAwait()
             passOn(response, sink)
-        } catch (exception: CancellationException) {
+        } catch (exception: Exception) {
             reset(request)
             throw exception
         }
     }
 
+    /** Throws [EndlessAnswerException] when the answer is over its bounds. */
     private suspend fun passOn(
         response: HttpClientResponse,
         sink: AnswerSink,
     ) {
-        val pieces = Channel<Buffer>(Channel.UNLIMITED)
-        response.handler { pieces.trySend(it) }
-        response.endHandler { pieces.close() }
-        response.exceptionHandler { pieces.close(it) }
+        val bounds = AnswerBounds(isStream = response.getHeader("content-type").orEmpty().startsWith(EVENT_STREAM))
+        val pieces = AnswerPieces()
+        pieces.listen(response) { null }
         response.resume()
         sink.head(response.statusCode(), passedHeaders(response))
-        for (piece in pieces) {
+        while (true) {
+            val piece = pieces.next() ?: break
+            bounds.take(piece.bytes)
             sink.bytes(Payload.of(piece.bytes))
         }
         sink.end()
@@ -147,6 +153,8 @@
     private companion object {
         const val MAXIMUM_CONNECTIONS = 256
         const val REQUEST_ID = "x-request-id"
+        const val EVENT_STREAM = "text/event-stream"
+        val logger = LoggerFactory.getLogger(TargetClient::class.java)
         val PASSED_HEADERS = setOf("content-type", "cache-control", "etag", "last-modified", "location")
     }
 }
--- a/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/engine/EngineClient.kt
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/engine/EngineClient.kt
@@ -3,29 +3,40 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
-import io.vertx.core.Future
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpClientRequest
-import io.vertx.core.http.HttpClientResponse
 import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.PoolOptions
 import io.vertx.core.http.RequestOptions
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.withTimeoutOrNull
+import org.slf4j.LoggerFactory
 import tanagerlane.model.Payload
 import tanagerlane.model.RequestId
+import tanagerlane.runtime.AnswerPieces
+import tanagerlane.runtime.InterimAnswers
+import tanagerlane.runtime.MonotonicClock
+import tanagerlane.sidecar.AnswerBounds
+import tanagerlane.sidecar.EndlessAnswerException
+import tanagerlane.streams.BegunEvent
 import java.net.ConnectException
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
 
 /**
  * Streams chat completions from a model engine.
  *
  * @param engineUrl base URL of the engine
+ * @param longestEvent time for the whole of one event once it has begun
  */
 internal class EngineClient(
     vertx: Vertx,
     private val engineUrl: String,
+    private val longestEvent: Duration = LONGEST_EVENT,
+    private val now: () -> Instant = MonotonicClock()::now,
 ) {
     private val client = vertx.createHttpClient(PoolOptions().setHttp1MaxSize(MAXIMUM_CONNECTIONS))
 
@@ -41,7 +52,8 @@
             throw exception
         } catch (_: ConnectException) {
             Err(EngineFailure.Unreachable)
-        } catch (_: Exception) {
+        } catch (exception: Exception) {
+            logger.info("engine call failed request={} cause={}", id, exception.toString())
             Err(EngineFailure.Broken)
         }
 
@@ -65,7 +77,7 @@
         request.putHeader("content-type", "application/json").putHeader("x-request-id", id.text)
         try {
             return receive(request, body, onEvent)
-        } catch (exception: CancellationException) {
+        } catch (exception: Exception) {
             request.reset()
             throw exception
         }
@@ -77,42 +89,58 @@
         onEvent: (String) -> Unit,
     ): Result<Unit, EngineFailure> {
         // Set before the request is sent, since the answer may come whole before this thread goes on.
-        val head = request.response().compose(::headOf)
+        val head = request.response().map { it.pause() }
+        InterimAnswers.bound(request) { request.reset() }
         request.end(Buffer.buffer(body.toByteArray()))
-        val response =
-            when (val received = head.coAwait()) {
-                is EngineHead.Failed -> return Err(EngineFailure.Answered(received.status, received.body))
-                is EngineHead.Streaming -> received.response
-            }
-        val parser = EventParser()
-        for (piece in pieces(response)) {
-            parser.accept(piece.bytes).forEach(onEvent)
+        val response = head.coAwait()
+        val pieces = AnswerPieces()
+        pieces.listen(response) { null }
+        response.resume()
+        if (response.statusCode() !in SUCCESS) {
+            return Err(EngineFailure.Answered(response.statusCode(), Payload.of(contentOf(pieces).bytes)))
         }
+        takeEvents(pieces, onEvent)
         return Ok(Unit)
     }
 
-    /** Runs on the event loop, where no part of the answer can come before it is waited for. */
-    private fun headOf(response: HttpClientResponse): Future<EngineHead> {
-        if (response.statusCode() in SUCCESS) {
-            response.pause()
-            return Future.succeededFuture(EngineHead.Streaming(response))
+    private suspend fun contentOf(pieces: AnswerPieces): Buffer {
+        val bounds = AnswerBounds(isStream = false)
+        val content = Buffer.buffer()
+        while (true) {
+            val piece = pieces.next() ?: return content
+            bounds.take(piece.bytes)
+            content.appendBuffer(piece)
         }
-        return response.body().map { EngineHead.Failed(response.statusCode(), Payload.of(it.bytes)) }
     }
 
-    private fun pieces(response: HttpClientResponse): Channel<Buffer> {
-        val pieces = Channel<Buffer>(Channel.UNLIMITED)
-        response.handler { pieces.trySend(it) }
-        response.endHandler { pieces.close() }
-        response.exceptionHandler { pieces.close(it) }
-        response.resume()
-        return pieces
+    private suspend fun takeEvents(
+        pieces: AnswerPieces,
+        onEvent: (String) -> Unit,
+    ) {
+        val bounds = AnswerBounds(isStream = true)
+        val parser = EventParser()
+        val begun = BegunEvent(longestEvent)
+        while (true) {
+            val result =
+                withTimeoutOrNull(begun.timeLeft(now())) { pieces.receiveCatching() }
+                    ?: throw EndlessAnswerException("event not whole after $longestEvent")
+            result.exceptionOrNull()?.let { throw it }
+            val piece = result.getOrNull() ?: return
+            bounds.take(piece.bytes)
+            val events = parser.accept(piece.bytes)
+            events.forEach(onEvent)
+            begun.note(parser.isInsideEvent, events.isNotEmpty(), now())
+        }
     }
 
     private fun options(path: String) = RequestOptions().setMethod(HttpMethod.POST).setAbsoluteURI(engineUrl + path)
 
     private companion object {
         const val MAXIMUM_CONNECTIONS = 256
+
+        /** Time for one event; engines write an event at once. */
+        val LONGEST_EVENT = 30.seconds
         val SUCCESS = 200..299
+        val logger = LoggerFactory.getLogger(EngineClient::class.java)
     }
 }
--- a/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/orders/OrderClient.kt
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/orders/OrderClient.kt
@@ -1,18 +1,22 @@
 package tanagerlane.sidecar.orders
 
 import io.vertx.core.Future
+import io.vertx.core.Promise
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpClientOptions
 import io.vertx.core.http.HttpClientRequest
+import io.vertx.core.http.HttpClientResponse
 import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.RequestOptions
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.withTimeoutOrNull
+import org.slf4j.LoggerFactory
 import tanagerlane.orders.FencedOrder
 import tanagerlane.orders.OrderOutcome
 import tanagerlane.orders.OrderRefusal
+import tanagerlane.runtime.InterimAnswers
 import tanagerlane.runtime.StoredDocuments
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.time.Duration
@@ -41,7 +45,8 @@
             return withTimeoutOrNull(timeout) { answer.coAwait() } ?: unanswered(progress)
         } catch (exception: CancellationException) {
             throw exception
-        } catch (_: Exception) {
+        } catch (exception: Exception) {
+            logger.info("order call failed fencing={} cause={}", order.fencing, exception.toString())
             return unanswered(progress)
         } finally {
             close(progress)
@@ -61,11 +66,32 @@
             return Future.succeededFuture(OrderOutcome.NotSent)
         }
         request.putHeader("content-type", "application/json")
+        InterimAnswers.bound(request) { request.reset() }
         return request.send(body).compose { response ->
-            response.body().map { outcomeOf(response.statusCode(), it.toString()) }
+            contentOf(request, response).map { outcomeOf(response.statusCode(), it.toString()) }
         }
     }
 
+    /** Reads the whole body; ends the call of one that is over [MAXIMUM_ANSWER_BYTES]. */
+    private fun contentOf(
+        request: HttpClientRequest,
+        response: HttpClientResponse,
+    ): Future<Buffer> {
+        val content = Buffer.buffer()
+        val whole = Promise.promise<Buffer>()
+        response.handler { piece ->
+            if (content.length() + piece.length() > MAXIMUM_ANSWER_BYTES) {
+                whole.tryFail("answer over $MAXIMUM_ANSWER_BYTES bytes")
+                request.reset()
+            } else {
+                content.appendBuffer(piece)
+            }
+        }
+        response.exceptionHandler { whole.tryFail(it) }
+        response.endHandler { whole.tryComplete(content) }
+        return whole.future()
+    }
+
     private fun outcomeOf(
         status: Int,
         answer: String,
@@ -86,8 +112,13 @@
     private enum class Progress { CONNECTING, WRITTEN, CLOSED }
 
     private companion object {
+        /** Characters of a refusal that are kept. */
         const val MAXIMUM_ANSWER = 200
+
+        /** Most bytes of the answer to an order, 64 KiB; targets send a line. */
+        const val MAXIMUM_ANSWER_BYTES = 64 shl 10
         val SUCCESS = 200..299
+        val logger = LoggerFactory.getLogger(OrderClient::class.java)
         val CALLERS_FAULT = 400..499
     }
 }
--- a/tanagerlane-sidecar/src/test/kotlin/tanagerlane/sidecar/EndlessBytesTest.kt
+++ b/tanagerlane-sidecar/src/test/kotlin/tanagerlane/sidecar/EndlessBytesTest.kt
@@ -93,6 +93,20 @@
             }
         }
 
+        test("an event of an engine that grows by a byte now and then") {
+            val endless = EndlessTarget(vertx).start()
+            endless.beginning = events
+            endless.rest = "x"
+            endless.pauseMilliseconds = 50
+            val ended =
+                withContext(Dispatchers.Default) {
+                    val client = EngineClient(vertx, endless.url, longestEvent = 1.seconds)
+                    withTimeoutOrNull(5.seconds) { client.stream(RequestId("r1"), Payload.EMPTY) {}.getError() }
+                }
+            ended.toString() shouldBe "Broken"
+            eventually(2.seconds) { endless.connections.map { it.isClosed } shouldBe listOf(true) }
+        }
+
         test("what a service sends faster than it is passed on stays with the service") {
             val endless = EndlessTarget(vertx).start()
             endless.beginning = events
@@ -108,7 +122,7 @@
                     )
                 val run = launch { TargetClient(vertx, endless.url).run(OFFER, sink) }
                 delay(2.seconds)
-                endless.connections.sumOf { it.bytes.get() } shouldBeLessThan 24L shl 20
+                endless.connections.sumOf { it.bytes.get() } shouldBeLessThan MOST_UNREAD
                 run.cancel()
             }
             eventually(2.seconds) { endless.connections.map { it.isClosed } shouldBe listOf(true) }
@@ -117,6 +131,9 @@
     private companion object {
         const val BLOCK = 4_000
 
+        /** Bytes that may be under way in sockets. */
+        const val MOST_UNREAD = 24L shl 20
+
         /** The most bytes of a stream and those that may be under way in sockets. */
         const val MOST_TAKEN = 96L shl 20
         val OFFER =
--- a/tanagerlane-sidecar/src/test/kotlin/tanagerlane/sidecar/engine/EventParserTest.kt
+++ b/tanagerlane-sidecar/src/test/kotlin/tanagerlane/sidecar/engine/EventParserTest.kt
@@ -17,4 +17,22 @@
                 }
             }
         }
+
+        data class LimitCase(
+            val text: String,
+            val events: List<String>,
+            val isOverlong: Boolean,
+        )
+        listOf(
+            LimitCase("data: abcd\n\ndata: e\n\n", listOf("abcd", "e"), isOverlong = false),
+            LimitCase("data: abcde\n\ndata: f\n\n", emptyList(), isOverlong = true),
+            LimitCase("data: a\n\n: comment without end", listOf("a"), isOverlong = true),
+            LimitCase("data: a\ndata: b\n", emptyList(), isOverlong = true),
+        ).forEach { case ->
+            test("events of at most 12 bytes: ${case.text.replace("\n", "|")}") {
+                val parser = EventParser(maximumEventBytes = 12)
+                parser.accept(case.text.encodeToByteArray()) shouldBe case.events
+                parser.isOverlong shouldBe case.isOverlong
+            }
+        }
     })
