--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetClient.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetClient.kt
@@ -14,10 +14,11 @@
 import io.vertx.core.http.RequestOptions
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
 import tanagerlane.places.DirectTarget
+import tanagerlane.runtime.AnswerPieces
+import tanagerlane.runtime.InterimAnswers
 import tanagerlane.wire.WireAddress
 import java.io.IOException
 import kotlin.time.Duration
@@ -42,7 +43,8 @@
             HttpClientOptions().setKeepAlive(true).setPipelining(false).setTcpNoDelay(true),
             PoolOptions().setHttp1MaxSize(1),
         )
-    private val idle = IdleConnections(now)
+    private val idle =
+        IdleConnections(now) { time, action -> vertx.setTimer(time.inWholeMilliseconds + 1) { action() } }
 
     /** Sends [request] to [target]; the head of the answer must come within [patience]. */
     suspend fun call(
@@ -111,9 +113,10 @@
     private val id: String,
     private val requestIdHeader: String,
 ) {
-    private val body = Channel<Buffer>(Channel.UNLIMITED)
+    private val body = AnswerPieces()
     private var isWritten = false
     private var isWhole = false
+    private var isInterimOnly = false
 
     suspend fun run(request: TargetRequest): Result<TargetAnswer, CallFault> {
         var isSent = false
@@ -122,15 +125,25 @@
             val options = RequestOptions().setMethod(request.method).setURI(request.uri).setHeaders(request.headers)
             val outgoing = connection.opened.request(options).coAwait()
             isSent = true
+            InterimAnswers.bound(outgoing, ::closeForInterim)
             val response = sent(outgoing, request.body).coAwait()
             answerOf(response)
         } catch (exception: CancellationException) {
             throw exception
         } catch (exception: Exception) {
-            Err(if (isSent) CallFault.Lost(exception.toString()) else CallFault.NotSent(exception.toString()))
+            Err(if (isSent) CallFault.Lost(causeOf(exception)) else CallFault.NotSent(exception.toString()))
         }
     }
 
+    private fun causeOf(exception: Exception): String =
+        if (isInterimOnly) "more than ${InterimAnswers.MAXIMUM} interim answers" else exception.toString()
+
+    /** Interim answers take up no memory, but a target that sends nothing else has no answer to give. */
+    private fun closeForInterim() {
+        isInterimOnly = true
+        connection.close()
+    }
+
     private fun sent(
         outgoing: HttpClientRequest,
         body: Buffer,
@@ -141,22 +154,19 @@
 
     /** Sets the handlers before the first byte of the body can come. */
     private fun listen(response: HttpClientResponse): HttpClientResponse {
-        response.handler { body.trySend(it) }
-        response.exceptionHandler { body.close(it) }
-        response.endHandler { ended(response) }
+        body.listen(response) { ended(response) }
         return response
     }
 
-    private fun ended(response: HttpClientResponse) {
+    /** Returns what is wrong with the answer, or null; before the receiver hears of the end and asks for a connection. */
+    private fun ended(response: HttpClientResponse): IOException? {
         val cut = connection.fault
         if (cut != null) {
-            body.close(IOException("connection broke: $cut"))
-            return
+            return IOException("connection broke: $cut")
         }
         isWhole = true
         if (isWritten && mayKeep(response)) idle.put(connection, keepTimeOf(response)) else connection.close()
-        // Last, since the receiver may go on at once and ask for a connection.
-        body.close()
+        return null
     }
 
     private fun answerOf(response: HttpClientResponse): Result<TargetAnswer, CallFault> {
@@ -164,6 +174,9 @@
         if (answered != id) {
             return Err(CallFault.Lost("answer of another request: $answered"))
         }
+        if (response.statusCode() < FIRST_FINAL_STATUS) {
+            return Err(CallFault.Lost("answer is an interim one: ${response.statusCode()}"))
+        }
         return Ok(
             TargetAnswer(response.statusCode(), response.headers(), hasLength(response), body) {
                 if (!isWhole) connection.close()
@@ -189,5 +202,8 @@
 
     private companion object {
         const val MILLISECONDS = 1000
+
+        /** Answers with a lower status announce another one, which this client can't wait for. */
+        const val FIRST_FINAL_STATUS = 200
     }
 }
