--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/DirectStopTest.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/DirectStopTest.kt
@@ -11,6 +11,7 @@
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -30,7 +31,7 @@
             val started = deployment.start("entry-1", "entry", stopTime = stopTime)
             withContext(Dispatchers.IO) {
                 eventually(10.seconds) {
-                    KeptConnection(started.port).use { it.send("/streams/1", "first") } shouldBe 200
+                    KeptConnection(started.port).use { it.send("/ready", "first") } shouldBe 200
                 }
             }
             return started
@@ -55,12 +56,32 @@
         test("a request on a kept connection of a stopping entry is answered whole or not passed on") {
             val targets = List(4) { FakeTarget(vertx, "t$it", pauseMilliseconds = 60) }
             val answers = requestsWhileStopping(started(targets, stopTime = 8.seconds))
-            val passedOn = targets.flatMap { it.requests }.map { it.substringBefore(' ') }.toSet() - "first"
+            val passedOn = targets.flatMap { it.requests }.map { it.substringBefore(' ') }.toSet()
             answers.filterKeys { it in passedOn }.filterValues { it != 200 } shouldBe emptyMap()
             answers.filterKeys { it !in passedOn }.values.toSet() - setOf(503, null) shouldBe emptySet()
             passedOn.size shouldBeInRange 1..<KEPT_CONNECTIONS
         }
 
+        test("a connection that is made after a stopping entry takes no more stays open until its request is refused") {
+            val target = FakeTarget(vertx, "t1", events = 60, pauseMilliseconds = 100)
+            val started = started(listOf(target), stopTime = 8.seconds)
+            val answer =
+                coroutineScope {
+                    launch(Dispatchers.IO) { KeptConnection(started.port).use { it.send("/streams/1", "long") } }
+                    eventually(5.seconds) { ("long after 0" in target.requests) shouldBe true }
+                    launch { started.daemon.drainAndStop() }
+                    withContext(Dispatchers.IO) {
+                        delay(NOTICE_TIME)
+                        KeptConnection(started.port).use { connection ->
+                            delay(SEND_INTERVAL)
+                            connection.send("/streams/1", "late")
+                        }
+                    }
+                }
+            answer shouldBe 503
+            target.requests.filter { it.startsWith("late") } shouldBe emptyList()
+        }
+
         test("a request that is open when its entry has to end is answered before the connection is closed") {
             val target = FakeTarget(vertx, "t1")
             val started = started(listOf(target), stopTime = 4.seconds)
@@ -77,6 +98,9 @@
     }) {
     private companion object {
         const val KEPT_CONNECTIONS = 80
+
+        /** Time after the signal to stop at which requests are no longer taken. */
+        val NOTICE_TIME = 3.seconds
         val SEND_INTERVAL = 100.milliseconds
     }
 }
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/SlowReaderStopTest.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/SlowReaderStopTest.kt
@@ -13,6 +13,7 @@
 import kotlinx.coroutines.withContext
 import tanagerlane.model.Payload
 import tanagerlane.store.ObjectKey
+import java.net.InetSocketAddress
 import java.net.Socket
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
@@ -45,7 +46,9 @@
             coroutineScope {
                 val read =
                     async(Dispatchers.IO) {
-                        Socket("127.0.0.1", started.port).use { socket ->
+                        Socket().use { socket ->
+                            socket.receiveBufferSize = RECEIVE_BUFFER_BYTES
+                            socket.connect(InetSocketAddress("127.0.0.1", started.port))
                             socket.soTimeout = READ_TIMEOUT_MILLISECONDS
                             socket.getOutputStream().write(HEAD.toByteArray())
                             delay(READ_DELAY)
@@ -67,8 +70,10 @@
             "POST /calls/1 HTTP/1.1\r\nHost: localhost\r\nAttempt-Id: long\r\nCredential: good-key\r\nContent-Length: 0\r\n\r\n"
         const val READ_TIMEOUT_MILLISECONDS = 20_000
 
-        /** More than the buffers of a connection hold. */
-        const val ANSWER_BYTES = 16_000_000
+        const val RECEIVE_BUFFER_BYTES = 65_536
+
+        /** More than the buffers of a connection hold, and less than the longest answer. */
+        const val ANSWER_BYTES = 8_000_000
 
         /** Time in which the answer comes from the target before the stop begins. */
         val HEAD_TIME = 2.seconds
