--- a/tanagerlane-core/src/main/kotlin/tanagerlane/places/PlaceBook.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/places/PlaceBook.kt
@@ -111,14 +111,20 @@
             if (load.online >= best.places + queueOf(best)) Placement.Full else Placement.At(best)
         }
 
-    /** Chooses a target of [service] with a free place for a batch item, or null when there is none. */
+    /**
+     * Chooses a target of [service] with a free place for a batch item, or null when there is none.
+     *
+     * Where all targets are avoided, the fault may lie with this process, and each of them may be tried.
+     */
     public fun placeBatch(
         service: ServiceName,
         now: Instant,
     ): DirectTarget? =
         synchronized(lock) {
-            targets.values
-                .filter { it.service == service && !it.leaving && !isAvoided(it.name, now) }
+            val known = targets.values.filter { it.service == service && !it.leaving }
+            known
+                .filterNot { isAvoided(it.name, now) }
+                .ifEmpty { known }
                 .map { FreePlaces(it, it.places - loadOf(it.name, now).total) }
                 .filter { it.free > 0 }
                 .sortedWith(compareByDescending<FreePlaces> { it.free }.thenBy { it.target.failureDomain != domain })
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/places/PlaceBookTest.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/places/PlaceBookTest.kt
@@ -127,6 +127,17 @@
             placed(603) shouldBe "x"
         }
 
+        test("a batch item goes to an avoided target only where all are avoided") {
+            val book = PlaceBook(HostName("own"), FailureDomain("a"))
+            book.configure(listOf(target("x"), target("y", places = 1)))
+            book.failed(TargetName("x"), start)
+            book.placeBatch(models, start)?.name shouldBe TargetName("y")
+            book.started(TargetName("y"), RequestClass.BATCH)
+            book.placeBatch(models, start) shouldBe null
+            book.failed(TargetName("y"), start)
+            book.placeBatch(models, start)?.name shouldBe TargetName("x")
+        }
+
         test("a request goes to an avoided target where there is no other") {
             val book = book(target("x"))
             book.failed(TargetName("x"), start)
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ItemEnding.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ItemEnding.kt
@@ -11,6 +11,9 @@
     /** The run broke off or was given up; it may go on after its last event. */
     BROKEN,
 
+    /** This process stopped the run, which says nothing about the target. */
+    STOPPED,
+
     /** The target answered with an error of its own. */
     FAILED,
 
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobRunner.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobRunner.kt
@@ -298,6 +298,7 @@
                 try {
                     ending = items.run(job.log.card, progress, target)
                 } catch (exception: CancellationException) {
+                    ending = ItemEnding.STOPPED
                     throw exception
                 } catch (exception: Exception) {
                     logger.warn("item failed item={} target={}", id, target.name, exception)
@@ -331,10 +332,17 @@
             }
 
             ItemEnding.FAILED -> {
+                places.failed(target.name, now())
                 noteFailure(job, progress)
             }
 
+            // A target that gets nothing done has the most free places, and would draw items for as long as it fails.
             ItemEnding.NOT_RUN, ItemEnding.BROKEN -> {
+                places.failed(target.name, now())
+                progress.notBefore = now() + RETRY_PAUSE
+            }
+
+            ItemEnding.STOPPED -> {
                 progress.notBefore = now() + RETRY_PAUSE
             }
         }
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/DirectServingTest.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/DirectServingTest.kt
@@ -5,6 +5,7 @@
 import io.kotest.engine.spec.tempdir
 import io.kotest.matchers.collections.shouldContainAll
 import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.ints.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
 import io.vertx.core.Vertx
@@ -189,6 +190,29 @@
             eventually(10.seconds) { targets.sumOf { it.running } shouldBe 1 }
         }
 
+        data class UnsoundCase(
+            val name: String,
+            val prepare: (FakeTarget) -> Unit,
+        )
+        listOf(
+            UnsoundCase("refuses them") { it.refuses = true },
+            UnsoundCase("breaks them off") { it.breaksAfter = 0 },
+        ).forEach { case ->
+            test("items that find no other place leave a target that ${case.name} alone for a while") {
+                val unsound = FakeTarget(vertx, "t1").also(case.prepare)
+                val sound = FakeTarget(vertx, "t2", events = 60, pauseMilliseconds = 50)
+                val (deployment, port) = serving(listOf(unsound, sound))
+                deployment.start("batch-1", "batch")
+                val items = (1..8).map { "u$it" }
+                send(port, "POST", "/jobs/x", "unsound", items.joinToString("\n")).statusCode() shouldBe 202
+                eventually(30.seconds) {
+                    send(port, "GET", "/results/unsound", "r").body().lines() shouldContainAll
+                        items.map { "$it COMPLETED 60" } + "8 of 8"
+                }
+                unsound.requests.size shouldBeLessThan MOST_TRIALS
+            }
+        }
+
         test("items that fail too often or can never be done are given up") {
             val target = FakeTarget(vertx, "t1")
             val (deployment, port) = serving(listOf(target))
@@ -255,5 +279,8 @@
     }) {
     private companion object {
         val CALL_TIMEOUT: Duration = Duration.ofSeconds(20)
+
+        /** Requests that eight items may send to a target that gets nothing done, in the seconds that they take. */
+        const val MOST_TRIALS = 50
     }
 }
