--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/EndlessBytesTest.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/EndlessBytesTest.kt
@@ -18,6 +18,7 @@
 import tanagerlane.model.TargetName
 import tanagerlane.places.DirectTarget
 import tanagerlane.runtime.MonotonicClock
+import tanagerlane.standin.http.EndlessTarget
 import kotlin.time.Duration.Companion.seconds
 
 class EndlessBytesTest :
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeTarget.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeTarget.kt
@@ -4,6 +4,7 @@
 import io.vertx.core.http.HttpServerRequest
 import io.vertx.core.http.HttpServerResponse
 import io.vertx.kotlin.coroutines.coAwait
+import tanagerlane.standin.http.EndlessTarget
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicLong
 
--- a/tanagerlane-sidecar/src/test/kotlin/tanagerlane/sidecar/EndlessBytesTest.kt
+++ b/tanagerlane-sidecar/src/test/kotlin/tanagerlane/sidecar/EndlessBytesTest.kt
@@ -25,6 +25,7 @@
 import tanagerlane.orders.FencedOrder
 import tanagerlane.sidecar.engine.EngineClient
 import tanagerlane.sidecar.orders.OrderClient
+import tanagerlane.standin.http.EndlessTarget
 import kotlin.time.Duration.Companion.seconds
 
 class EndlessBytesTest :
@@ -83,7 +84,7 @@
         ).forEach { case ->
             test("bytes without end as ${case.name}") {
                 val endless = EndlessTarget(vertx, mostBytes = 160L shl 20).start()
-                endless.beginning = case.beginning
+                endless.beginning = { case.beginning }
                 endless.rest = case.rest
                 withContext(Dispatchers.Default) {
                     withTimeoutOrNull(10.seconds) { case.call(endless) } shouldBe case.heard
@@ -95,7 +96,7 @@
 
         test("an event of an engine that grows by a byte now and then") {
             val endless = EndlessTarget(vertx).start()
-            endless.beginning = events
+            endless.beginning = { events }
             endless.rest = "x"
             endless.pauseMilliseconds = 50
             val ended =
@@ -109,7 +110,7 @@
 
         test("what a service sends faster than it is passed on stays with the service") {
             val endless = EndlessTarget(vertx).start()
-            endless.beginning = events
+            endless.beginning = { events }
             endless.rest = "data: a\n\n".repeat(BLOCK)
             withContext(Dispatchers.Default) {
                 val sink =
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/EndlessTarget.kt
+++ b/tanagerlane-standin/src/main/kotlin/tanagerlane/standin/http/EndlessTarget.kt
@@ -1,4 +1,4 @@
-package tanagerlane.direct
+package tanagerlane.standin.http
 
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
@@ -12,29 +12,34 @@
  *
  * @property mostBytes bytes after which it falls silent, so that a caller who takes everything does not fill the machine
  */
-internal class EndlessTarget(
+public class EndlessTarget(
     private val vertx: Vertx,
     private val mostBytes: Long = MOST_BYTES,
 ) {
-    /** What is sent once, when a request of the given identity has come. */
+    /** Returns what is sent once, when a request of the given identity has come. */
     @Volatile
-    var beginning: (id: String) -> String = { "" }
+    public var beginning: (id: String) -> String = { "" }
 
     /** What is sent again and again after that. */
     @Volatile
-    var rest = ""
+    public var rest: String = ""
 
     /** Time between two pieces, or null where they follow at once. */
     @Volatile
-    var pauseMilliseconds: Long? = null
+    public var pauseMilliseconds: Long? = null
 
     /** Connections that were made, in order. */
-    val connections = CopyOnWriteArrayList<Connection>()
+    public val connections: CopyOnWriteArrayList<Connection> = CopyOnWriteArrayList<Connection>()
 
-    var port = 0
+    /** Port that it listens on, once started. */
+    public var port: Int = 0
         private set
 
-    suspend fun start(): EndlessTarget {
+    /** Base URL, once started. */
+    public val url: String get() = "http://127.0.0.1:$port"
+
+    /** Listens on any free port. */
+    public suspend fun start(): EndlessTarget {
         port =
             vertx
                 .createNetServer()
@@ -99,16 +104,23 @@
     }
 
     /** A connection that was made to the target. */
-    class Connection {
-        val bytes = AtomicLong()
-        val requests = AtomicLong()
+    public class Connection {
+        /** Bytes that were sent. */
+        public val bytes: AtomicLong = AtomicLong()
+
+        /** Requests that came. */
+        public val requests: AtomicLong = AtomicLong()
 
+        /** Whether the caller has closed it. */
         @Volatile
-        var isClosed = false
+        public var isClosed: Boolean = false
     }
 
-    companion object {
-        const val PIECES_AT_ONCE = 64
-        const val MOST_BYTES = 96L shl 20
+    public companion object {
+        /** Pieces that are written before the event loop has a turn. */
+        public const val PIECES_AT_ONCE: Int = 64
+
+        /** Bytes after which a target falls silent where no other number is given. */
+        public const val MOST_BYTES: Long = 96L shl 20
     }
 }
