Log the source of each read of a job's results

No line told which source answered a read, so none could be ruled out. An entry now logs the source, position and number of results of each read, a runner what its copy held (results, pages, ended, known to be behind). No logic changes.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
@@ -148,6 +148,7 @@
             resultsClient = resultsClient,
             bodyFormat = deployment.jobs,
             resultTime = settings.resultTime,
+            now = clock::now,
             wallClock = Clock.System::now,
         )
     private val callerService =
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobCallHandler.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobCallHandler.kt
@@ -37,6 +37,7 @@
     private val resultsClient: ResultsClient,
     private val bodyFormat: JobBodyFormat,
     private val resultTime: Duration,
+    private val now: () -> Instant,
     private val wallClock: () -> Instant,
 ) {
     /** Accepts or refuses a job that was submitted on [route]. */
@@ -200,9 +201,15 @@
         after: Int,
     ): List<ListedResult>? {
         val runner = JobIndex.runnerOf(job, fleet.runners(includeOwn = false))
-        runner?.let { resultsClient.query(it, job, after, exchange.wait) }?.let { return it }
+        val known = runner?.let { resultsClient.query(it, job, after, exchange.wait) }
+        if (known != null) {
+            logRead(exchange, job, after, known, source = "runner $runner")
+            return known
+        }
         return storage.pages(job).fold(
-            success = { pages -> pages.flatten().drop(after) },
+            success = { pages ->
+                pages.flatten().drop(after).also { logRead(exchange, job, after, it, source = "store, not $runner") }
+            },
             failure = {
                 logger.warn("results not read job={} runner={} cause={}", job, runner, it)
                 null
@@ -210,6 +217,24 @@
         )
     }
 
+    private fun logRead(
+        exchange: CallerExchange,
+        job: JobId,
+        after: Int,
+        results: List<ListedResult>,
+        source: String,
+    ) {
+        logger.info(
+            "results read job={} after={} results={} source=[{}] ended={} age={}",
+            job,
+            after,
+            results.size,
+            source,
+            job in jobIndex.endedJobs,
+            now() - exchange.arrivedAt,
+        )
+    }
+
     private fun newRecord(
         job: JobId,
         route: ServingRoute,
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobRunner.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobRunner.kt
@@ -131,10 +131,31 @@
                     ?.log
                     ?.listed
                     ?.drop(query.after)
+            logAnswer(from, query, reply)
             fleet.send(from, ResultsReply(query.query, reply?.takeWithinBytes(MAXIMUM_REPLY_BYTES)))
         }
     }
 
+    private fun logAnswer(
+        from: HostName,
+        query: ResultsQuery,
+        reply: List<ListedResult>?,
+    ) {
+        val job = assignedJobs[query.job]
+        logger.info(
+            "query answered job={} from={} after={} results={} listed={} pages={} ended={} stale={} leaving={}",
+            query.job,
+            from,
+            query.after,
+            reply?.size,
+            job?.log?.listed?.size,
+            job?.log?.pages,
+            job?.log?.isEnded,
+            job?.mayBeStale,
+            isLeaving(),
+        )
+    }
+
     private fun canAnswer(query: ResultsQuery): Boolean {
         val log = assignedJobs[query.job]?.log ?: return true
         return log.listed.size > query.after || log.isFinished
