Answer that a job has no further results only once the store confirms it

Cause: a runner answered from its copy of the job's pages, and nothing proved that copy to be current. Another runner may append a page without this one noticing (700 ms without a datagram make two runners take the same job), and a write whose answer was lost may take effect later. Only a conflict at the next own append corrected the copy; once the job had ended nothing was appended, and listResults returned before it would have read the pages again. While a job ran, the copy was behind until its next item finished.

Now a position that the copy holds is answered from it, as positions never change. Nothing at a position is answered only if all items are listed or if the store has no page after the copy's last one; if there is one the pages are read again, also after the end. If that can't be found out within 500 ms the runner says so, and the entry answers 503 with Retry-After.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/joblog/JobLog.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/joblog/JobLog.kt
@@ -28,8 +28,11 @@
     /** Tokens of the items without a listed result, or 0 if the job was ended. */
     public val pendingTokens: Long get() = if (isEnded) 0 else pending.sumOf { it.tokens }
 
+    /** Whether every item has a listed result, so that no page can follow. */
+    public val isComplete: Boolean get() = listed.size == items.size
+
     /** Whether nothing is left to run. */
-    public val isFinished: Boolean get() = isEnded || listed.size == items.size
+    public val isFinished: Boolean get() = isEnded || isComplete
 
     /** Returns this log with [results] appended as its next page. */
     public fun withPage(results: List<ListedResult>): JobLog = copy(listed = listed + results, pages = pages + 1)
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobCallHandler.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobCallHandler.kt
@@ -201,11 +201,16 @@
         after: Int,
     ): List<ListedResult>? {
         val runner = JobIndex.runnerOf(job, fleet.runners(includeOwn = false))
-        val known = runner?.let { resultsClient.query(it, job, after, exchange.wait) }
+        val reply = runner?.let { resultsClient.query(it, job, after, exchange.wait) }
+        val known = reply?.results
         if (known != null) {
             logRead(exchange, job, after, known, source = "runner $runner")
             return known
         }
+        if (reply?.isUnconfirmed == true) {
+            logger.warn("results not read job={} runner={} cause=not confirmed by the runner", job, runner)
+            return null
+        }
         return storage.pages(job).fold(
             success = { pages ->
                 pages.flatten().drop(after).also { logRead(exchange, job, after, it, source = "store, not $runner") }
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobRunner.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobRunner.kt
@@ -125,15 +125,50 @@
     ) {
         scope.launch {
             withTimeoutOrNull(query.wait) { while (!canAnswer(query)) assignedJobs[query.job]?.logChange?.await() }
-            val reply =
-                assignedJobs[query.job]
-                    ?.takeIf { !it.mayBeStale && !isLeaving() }
+            val job = assignedJobs[query.job]?.takeUnless { isLeaving() }
+            val isSure = job == null || job.log.listed.size > query.after || isCurrent(job)
+            val results =
+                job
+                    ?.takeIf { isSure }
                     ?.log
                     ?.listed
                     ?.drop(query.after)
-            logAnswer(from, query, reply)
-            fleet.send(from, ResultsReply(query.query, reply?.takeWithinBytes(MAXIMUM_REPLY_BYTES)))
+            logAnswer(from, query, results)
+            val reply =
+                ResultsReply(query.query, results?.takeWithinBytes(MAXIMUM_REPLY_BYTES), isUnconfirmed = !isSure)
+            fleet.send(from, reply)
+        }
+    }
+
+    /**
+     * Whether all stored results of [job] are known here; reads the missing ones if there are any.
+     *
+     * Another process may have appended pages without this one noticing, so a copy that is not complete proves nothing
+     * about results that it lacks. It is current if the page after its last one does not exist.
+     */
+    private suspend fun isCurrent(job: AssignedJob): Boolean =
+        job.log.isComplete || withTimeoutOrNull(CONFIRMATION_TIMEOUT) { confirm(job) } ?: false
+
+    private suspend fun confirm(job: AssignedJob): Boolean {
+        val hasNextPage =
+            storage.hasPage(job.log.record.job, job.log.pages).getOrElse { failure ->
+                logger.warn(
+                    "results not confirmed job={} pages={} cause={}",
+                    job.log.record.job,
+                    job.log.pages,
+                    failure,
+                )
+                return false
+            }
+        if (hasNextPage) {
+            logger.info("copy is behind job={} pages={} ended={}", job.log.record.job, job.log.pages, job.log.isEnded)
+            job.mayBeStale = true
+            requestSchedulingPass()
+            while (job.mayBeStale) {
+                job.logChange.await()
+            }
         }
+        return true
     }
 
     private fun logAnswer(
@@ -408,7 +443,8 @@
         abandonOverdue(job)
         val isDue =
             now() - job.lastListedAt >= LIST_INTERVAL || job.unlisted.size + job.log.listed.size >= job.log.items.size
-        if (job.isWriting || job.log.isEnded || (!job.mayBeStale && (job.unlisted.isEmpty() || !isDue))) {
+        val hasPage = isDue && job.unlisted.isNotEmpty() && !job.log.isEnded
+        if (job.isWriting || !(hasPage || job.mayBeStale)) {
             return
         }
         job.isWriting = true
@@ -501,6 +537,9 @@
         /** Time in which the results of finished items are collected before they are listed together. */
         val LIST_INTERVAL = 400.milliseconds
 
+        /** Time limit for finding out whether a job has further results. */
+        val CONFIRMATION_TIMEOUT = 500.milliseconds
+
         /** Number of unlisted results of a job from which no further items of the job are started. */
         const val MAXIMUM_UNLISTED_RESULTS = 64
         const val MAXIMUM_PAGE_BYTES = 500_000
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobStorage.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobStorage.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.map
 import kotlinx.serialization.ExperimentalSerializationApi
@@ -97,6 +98,16 @@
         )
     }
 
+    /** Returns whether the page with number [page] is stored. */
+    suspend fun hasPage(
+        job: JobId,
+        page: Int,
+    ): Result<Boolean, StoreFailure> =
+        store.get(pageKey(job, page)).fold(
+            success = { Ok(true) },
+            failure = { if (it is StoreFailure.NotFound) Ok(false) else Err(it) },
+        )
+
     /** Appends a page; fails with [StoreFailure.Conflict] if another page with that number exists. */
     suspend fun append(
         job: JobId,
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ResultsClient.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ResultsClient.kt
@@ -2,7 +2,6 @@
 
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.withTimeoutOrNull
-import tanagerlane.joblog.ListedResult
 import tanagerlane.message.ResultsQuery
 import tanagerlane.message.ResultsReply
 import tanagerlane.model.HostName
@@ -15,11 +14,11 @@
     private val fleet: Fleet,
 ) {
     /** Queries without a reply, by their number. */
-    private val open = HashMap<Long, CompletableDeferred<List<ListedResult>?>>()
+    private val open = HashMap<Long, CompletableDeferred<ResultsReply>>()
     private var queryCount = 0L
 
     /**
-     * Returns the results of [job] from position [after] on, or null if [runner] can't answer or replies too late.
+     * Queries [runner] for the results of [job] from position [after] on; returns null if it replies too late.
      *
      * @param wait time for which [runner] may wait for further results
      */
@@ -28,9 +27,9 @@
         job: JobId,
         after: Int,
         wait: Duration,
-    ): List<ListedResult>? {
+    ): ResultsReply? {
         val queryId = ++queryCount
-        val reply = CompletableDeferred<List<ListedResult>?>()
+        val reply = CompletableDeferred<ResultsReply>()
         open[queryId] = reply
         try {
             fleet.send(runner, ResultsQuery(queryId, job, after, wait))
@@ -42,11 +41,11 @@
 
     /** Completes the query that [reply] answers; a reply that comes too late is ignored. */
     fun onReply(reply: ResultsReply) {
-        open[reply.query]?.complete(reply.results)
+        open[reply.query]?.complete(reply)
     }
 
     private companion object {
         /** Time for the reply in addition to the wait time of the query. */
-        val REPLY_MARGIN = 250.milliseconds
+        val REPLY_MARGIN = 600.milliseconds
     }
 }
