--- /dev/null
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/quarantine/QuarantineSettings.kt
@@ -0,0 +1,34 @@
+package tanagerlane.quarantine
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Settings of a [PromptQuarantine].
+ *
+ * @property crashesWhileBeginning number of crashes after which a part is quarantined if each time the target had begun
+ *   to answer a request with it
+ * @property crashesWhileWaiting number of crashes after which a part is quarantined if requests with it were only
+ *   waiting at the targets
+ * @property minimumSpan time from the first to the last of the crashes while waiting; targets that fail together by
+ *   another cause crash within a shorter time
+ * @property crashWindow time within which requests lost at one target count as lost in the same crash
+ * @property initialTerm time for which a part is quarantined at first
+ * @property termFactor factor by which the term grows with each further crash
+ * @property maximumTerm upper limit of the term
+ * @property evidenceLifetime time for which evidence counts after a crash, or after the term that follows it
+ * @property maximumEvidence number of lost requests that are remembered; the oldest are forgotten first
+ */
+public data class QuarantineSettings(
+    val crashesWhileBeginning: Int = 2,
+    val crashesWhileWaiting: Int = 3,
+    val minimumSpan: Duration = 300.milliseconds,
+    val crashWindow: Duration = 2.seconds,
+    val initialTerm: Duration = 15.seconds,
+    val termFactor: Int = 4,
+    val maximumTerm: Duration = 10.minutes,
+    val evidenceLifetime: Duration = 2.minutes,
+    val maximumEvidence: Int = 256,
+)
