Quarantine prompt parts that crash targets

Cause: nothing connected crashes with what the requests have in common. Each request was judged alone, sent to a second target within milliseconds, and sent again by its caller.

A request that is lost before its first event at a target that then refuses connections is evidence against the shared parts of its prompt; an answer written with a part clears it. Requests that the target had begun to answer (head, no event) count before those that waited there. Processes send each other the evidence as datagrams and come to the same verdict: two such crashes quarantine a part for 15 s, four times as long with each further crash. Requests with it are refused as 'quarantined' (503, not run, Retry-After) before they are charged to the caller's rate, and batch items are held.

Evidence: CrashingPromptTest failed before the change (24 crashes from 12 requests at two entries, bound 3) and passes now; the sound requests beside them were served before and after. PromptQuarantineTest has the decision in virtual time, with lost reports and a late process.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerExchange.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerExchange.kt
@@ -39,6 +39,9 @@
     /** API key presented by the caller, or null. */
     val key: String? = request.getHeader(names.key)
 
+    /** Parts of the prompt as the caller lists them, or null. */
+    val promptParts: String? = request.getHeader(names.promptParts)
+
     /** Number of the last stream event that the caller has received, or null. */
     val resumeAfter: Long? = request.getHeader(names.resumeAfter)?.toLongOrNull()
 
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerService.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerService.kt
@@ -31,6 +31,7 @@
     private val scope: CoroutineScope,
     private val deployment: Deployment,
     private val online: OnlineHandler,
+    private val promptGuard: PromptGuard,
     private val jobs: JobCallHandler,
     private val rates: SharedRates,
     private val metrics: DirectMetrics,
@@ -190,6 +191,10 @@
             return jobs.submit(exchange, route, jobTerms, workspace?.name)
         }
         val id = exchange.id?.text ?: return refuse(exchange, RefusalReason.MALFORMED)
+        val parts = exchange.promptParts?.let(deployment.sharedParts).orEmpty()
+        promptGuard.findQuarantined(parts)?.let {
+            return refuse(exchange, RefusalReason.QUARANTINED, it.until - now())
+        }
         val wait = workspace?.let { rates.admit(it.name, state.entries(), now()) }
         if (wait != null) {
             return refuse(exchange, RefusalReason.RATE_LIMITED, wait)
@@ -200,7 +205,7 @@
         }
         val service = route.serviceFor(exchange.id) ?: return refuse(exchange, RefusalReason.NO_TARGET)
         val deadline = exchange.deadline(route.timeout)
-        online.serve(OnlineRequest(exchange, id, route, service, workspace, body, deadline))
+        online.serve(OnlineRequest(exchange, id, route, service, workspace, body, deadline, parts))
     }
 
     private fun refuse(
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/Deployment.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/Deployment.kt
@@ -1,6 +1,7 @@
 package tanagerlane.direct
 
 import tanagerlane.model.HostName
+import tanagerlane.model.PromptPart
 import tanagerlane.places.DirectTarget
 import tanagerlane.serving.ServingConfiguration
 import tanagerlane.store.ObjectStore
@@ -15,6 +16,8 @@
  * @property targets registrations of targets
  * @property removals orders to remove a host
  * @property jobs formats of the bodies of job requests and job results
+ * @property sharedParts returns the parts that the prompt of a request may share with others, from the header that
+ *   lists its parts
  * @property classify determines what a caller requests from the method, path and query of the request
  * @property reportDrained reports to the operator that a host is drained; returns whether the report was accepted
  */
@@ -25,6 +28,7 @@
     val targets: ViewSource<DirectTarget>,
     val removals: ViewSource<HostRemoval>,
     val jobs: JobBodyFormat,
+    val sharedParts: (header: String) -> List<PromptPart>,
     val classify: (method: String, path: String, query: Map<String, String>) -> CallerCall,
     val reportDrained: suspend (HostName) -> Boolean,
 )
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
@@ -18,11 +18,13 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
 import tanagerlane.attempts.LivenessSettings
+import tanagerlane.joblog.RawItem
 import tanagerlane.limits.EntryFleet
 import tanagerlane.limits.SharedRates
 import tanagerlane.membership.Member
 import tanagerlane.membership.StartupGracePeriod
 import tanagerlane.membership.StopPlan
+import tanagerlane.message.CrashReport
 import tanagerlane.message.ForwardedReport
 import tanagerlane.message.Hello
 import tanagerlane.message.HostRole
@@ -37,9 +39,11 @@
 import tanagerlane.message.WireMessage
 import tanagerlane.model.HostName
 import tanagerlane.model.Incarnation
+import tanagerlane.model.PromptPart
 import tanagerlane.places.DirectTarget
 import tanagerlane.places.LoadBalancer
 import tanagerlane.places.TargetList
+import tanagerlane.quarantine.PromptQuarantine
 import tanagerlane.runtime.MonotonicClock
 import tanagerlane.runtime.OperatorServer
 import tanagerlane.runtime.StoreCall
@@ -82,6 +86,8 @@
     private val rates = SharedRates()
     private val headers = RequestHeaders(deployment.headers)
     private val targetClient = TargetClient(vertx, deployment.headers.requestId, clock::now)
+    private val quarantine = PromptQuarantine(settings.host.name, incarnation)
+    private val promptGuard = PromptGuard(quarantine, fleet, targetClient, scope, metrics, clock::now)
     private val storeRelay = StoreRelay(deployment.store, scope, { fleet.relayCandidates }, fleet::send, clock::now)
     private val storage = JobStorage(storeRelay, settings.maximumValueBytes / VALUE_OVERHEAD)
     private val jobIndex = JobIndex(storage)
@@ -119,7 +125,8 @@
             storage = storage,
             jobIndex = jobIndex,
             loadBalancer = loadBalancer,
-            itemRunner = ItemRunner(targetClient, headers, deployment.headers),
+            itemRunner = ItemRunner(targetClient, headers, deployment.headers, promptGuard, ::sharedParts),
+            isQuarantined = { promptGuard.findQuarantined(sharedParts(it)) != null },
             progressSaver = progressSaver,
             metrics = metrics,
             configuration = { configuration },
@@ -136,6 +143,7 @@
             targetClient,
             headers,
             deployment.headers,
+            promptGuard,
             metrics,
             clock::now,
             placeReports::requestReport,
@@ -157,6 +165,7 @@
             scope = scope,
             deployment = deployment,
             online = onlineHandler,
+            promptGuard = promptGuard,
             jobs = jobHandler,
             rates = rates,
             metrics = metrics,
@@ -249,6 +258,7 @@
         }
         registration = launchLoop("membership") { membership.run(memberOf(bound)) }
         launchLoop("reports", placeReports::run)
+        launchLoop("crash reports", promptGuard::run)
         launchLoop("ticks", ::tickLoop)
         if (isRunner) {
             launchLoop("jobs", runner::run)
@@ -299,6 +309,7 @@
         when (message) {
             is PlaceReport -> onReport(placeReports.acceptAndForward(message))
             is ForwardedReport -> onReport(message.report.host != fleet.ownHost && placeReports.accept(message.report))
+            is CrashReport -> promptGuard.received(message)
             is JobReport -> jobIndex.updateBacklogs(message.backlog)
             is ViewUpdate -> synchronizers[message.kind]?.onUpdate(from, message)
             is ViewRequest -> synchronizers[message.kind]?.onSnapshotRequest(from)
@@ -434,6 +445,12 @@
         return STARTUP_GRACE_PERIOD.isOver(members, HostRole.BATCH, fleet.unreachable, clock.now() - startedAt)
     }
 
+    private fun sharedParts(item: RawItem): List<PromptPart> =
+        item.headers
+            .firstOrNull { it.name.equals(deployment.headers.promptParts, ignoreCase = true) }
+            ?.let { deployment.sharedParts(it.value) }
+            .orEmpty()
+
     private fun memberOf(bound: WireAddress): Member =
         Member(
             host = settings.host.name,
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectMetrics.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectMetrics.kt
@@ -7,6 +7,7 @@
 import tanagerlane.runtime.StoreCall
 import tanagerlane.serving.AttemptEnd
 import tanagerlane.serving.RouteKind
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration
 import kotlin.time.toJavaDuration
 
@@ -42,6 +43,12 @@
     /** Results of batch items that were added to the result lists of their jobs. */
     val listed: Counter = Counter.builder("tanagerlane.items.listed").register(registry)
 
+    /** Requests that were lost before their first event because their target crashed. */
+    val crashEvidence: Counter = Counter.builder("tanagerlane.requests.lost.in.crashes").register(registry)
+
+    /** Parts of prompts that are quarantined, or were until lately. */
+    val quarantinedParts: AtomicInteger = registry.gauge("tanagerlane.prompts.quarantined", AtomicInteger())
+
     /** Returns the counter of attempts that ended with [end]. */
     fun attempts(end: AttemptEnd): Counter = attempts.getValue(end)
 
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/Fleet.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/Fleet.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.launch
 import org.slf4j.LoggerFactory
 import tanagerlane.membership.Member
+import tanagerlane.message.CrashReport
 import tanagerlane.message.ForwardedReport
 import tanagerlane.message.Hello
 import tanagerlane.message.HostRole
@@ -144,6 +145,7 @@
             when (message) {
                 is PlaceReport -> message.host
                 is JobReport -> message.host
+                is CrashReport -> message.host
                 is ViewUpdate -> message.host
                 else -> null
             }
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/HeaderNames.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/HeaderNames.kt
@@ -11,6 +11,7 @@
  * @property notRun present in a target's answer if the request has not run
  * @property resumeAfter number of the last stream event that the receiver has
  * @property wait maximum time for which a read of results may wait, in milliseconds
+ * @property promptParts parts of the prompt of a request
  */
 public data class HeaderNames(
     val requestId: String,
@@ -21,4 +22,5 @@
     val notRun: String,
     val resumeAfter: String,
     val wait: String,
+    val promptParts: String,
 )
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ItemRunner.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ItemRunner.kt
@@ -6,6 +6,8 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
 import tanagerlane.joblog.JobRecord
+import tanagerlane.joblog.RawItem
+import tanagerlane.model.PromptPart
 import tanagerlane.places.DirectTarget
 import tanagerlane.runtime.MonotonicClock
 import tanagerlane.streams.AnswerLimits
@@ -19,6 +21,8 @@
     private val client: TargetClient,
     private val headers: RequestHeaders,
     private val headerNames: HeaderNames,
+    private val promptGuard: PromptGuard,
+    private val sharedParts: (RawItem) -> List<PromptPart>,
     private val now: () -> Instant = MonotonicClock()::now,
 ) {
     /**
@@ -51,10 +55,13 @@
         val answer =
             client.call(target, request, HEAD_TIMEOUT).getOrElse { fault ->
                 logger.info("item call failed item={} target={} fault={}", item.id, target.name, fault)
+                if (fault is CallFault.Lost) {
+                    promptGuard.lost(target, item.id.text, sharedParts(item), hasBegun = false)
+                }
                 return if (fault is CallFault.NotSent) ItemEnding.NOT_RUN else ItemEnding.BROKEN
             }
         try {
-            return receive(answer, progress)
+            return receive(answer, progress, target)
         } finally {
             answer.close()
         }
@@ -63,11 +70,12 @@
     private suspend fun receive(
         answer: TargetAnswer,
         progress: ItemProgress,
+        target: DirectTarget,
     ): ItemEnding =
         when {
             answer.isNotRun(headerNames) -> notRun(answer, progress)
             answer.status == UNPROCESSABLE -> ItemEnding.IMPOSSIBLE
-            answer.status in SUCCESS -> collect(answer, progress)
+            answer.status in SUCCESS -> collect(answer, progress, target)
             else -> ItemEnding.FAILED
         }
 
@@ -82,12 +90,18 @@
     private suspend fun collect(
         answer: TargetAnswer,
         progress: ItemProgress,
+        target: DirectTarget,
     ): ItemEnding {
         val assembler = EventAssembler()
+        val parts = sharedParts(progress.item)
+        var hasEvents = false
         val partialEventTimer = PartialEventTimer(EVENT_TIMEOUT)
         while (true) {
             val timeout = minOf(SILENCE_TIMEOUT, partialEventTimer.timeLeft(now()))
             val piece = withTimeoutOrNull(timeout) { answer.pieces.receiveCatching() }
+            if (piece?.exceptionOrNull() != null && !hasEvents) {
+                promptGuard.lost(target, progress.item.id.text, parts, hasBegun = true)
+            }
             if (piece == null || piece.exceptionOrNull() != null) {
                 return interrupted(
                     progress,
@@ -96,6 +110,10 @@
             }
             val bytes = piece.getOrNull() ?: break
             val events = assembler.accept(bytes.bytes)
+            if (!hasEvents && events.isNotEmpty()) {
+                hasEvents = true
+                promptGuard.answered(parts)
+            }
             if (!events.all(progress::add)) {
                 logger.info("item answer too long item={} events={}", progress.item.id, progress.eventCount)
                 return ItemEnding.FAILED
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobRunner.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobRunner.kt
@@ -16,6 +16,7 @@
 import tanagerlane.joblog.JobLog
 import tanagerlane.joblog.JobRecord
 import tanagerlane.joblog.ListedResult
+import tanagerlane.joblog.RawItem
 import tanagerlane.message.JobBacklog
 import tanagerlane.message.ResultsQuery
 import tanagerlane.message.ResultsReply
@@ -34,6 +35,7 @@
 /**
  * Runs the jobs that are assigned to this process, in the capacity that online requests leave free.
  *
+ * @param isQuarantined whether an item must not reach a target at present, because such prompts crash targets
  * @param progressSaver saves the received events of items on a local disk, or null if there is no disk
  * @param configuration configuration in force, or null before the first one is known
  * @param isConfigurationCurrent whether the configuration is known to be the newest
@@ -48,6 +50,7 @@
     private val jobIndex: JobIndex,
     private val loadBalancer: LoadBalancer,
     private val itemRunner: ItemRunner,
+    private val isQuarantined: (RawItem) -> Boolean,
     private val progressSaver: ProgressSaver?,
     private val metrics: DirectMetrics,
     private val configuration: () -> ServingConfiguration?,
@@ -316,8 +319,13 @@
         val startable =
             assignedJobs.values
                 .filter { !it.log.isFinished && !it.mayBeStale && it.unlisted.size < MAXIMUM_UNLISTED_RESULTS }
-                .flatMap { job -> job.startable(now()).map { StartableItem(job, it, urgencyOf(job, it)) } }
-                .sortedBy { it.urgency }
+                .flatMap { job ->
+                    job
+                        .startable(
+                            now(),
+                        ).filterNot { isQuarantined(it.item) }
+                        .map { StartableItem(job, it, urgencyOf(job, it)) }
+                }.sortedBy { it.urgency }
         val fullServices = HashSet<ServiceName>()
         for (item in startable) {
             val service = serviceFor(item.job, item.progress) ?: continue
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineHandler.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineHandler.kt
@@ -31,6 +31,7 @@
     private val client: TargetClient,
     private val headers: RequestHeaders,
     private val names: HeaderNames,
+    private val promptGuard: PromptGuard,
     private val metrics: DirectMetrics,
     private val now: () -> Instant,
     private val onRequestCountChanged: () -> Unit,
@@ -48,6 +49,9 @@
 
     /** Sends the request to one target; returns the next step, or null if the request has its final answer. */
     private suspend fun attempt(request: OnlineRequest): NextStep? {
+        if (promptGuard.findQuarantined(request.sharedParts) != null) {
+            return withoutTarget(request, RefusalReason.QUARANTINED)
+        }
         val target =
             when (val placement = loadBalancer.place(request.service, request.triedTargets, now())) {
                 is Placement.At -> placement.target
@@ -129,6 +133,9 @@
                 if (!isPastDeadline(request, fault)) {
                     loadBalancer.failed(target.name, now())
                 }
+                if (fault is CallFault.Lost) {
+                    promptGuard.lost(target, request.id, request.sharedParts, hasBegun = false)
+                }
                 if (fault is CallFault.NotSent) AttemptEnd.NOT_RUN else AttemptEnd.LOST
             },
         )
@@ -192,6 +199,7 @@
             loadBalancer.failed(target.name, now())
         } else {
             loadBalancer.succeeded(target.name)
+            promptGuard.answered(request.sharedParts)
         }
         if (isFailure && request.route.isRepeatable && request.possibleRuns + 1 < request.route.attempts) {
             return AttemptEnd.FAILED
@@ -239,15 +247,25 @@
     ): AttemptEnd? {
         val assembler = EventAssembler()
         val eventTimer = PartialEventTimer(silenceTimeout(request) * SILENCES_PER_EVENT)
+        var hasEvents = false
         while (true) {
             val timeout = minOf(request.deadline - now(), silenceTimeout(request), eventTimer.timeLeft(now()))
             val piece =
                 answer.pieces.tryReceive().takeIf { it.isSuccess }
                     ?: withTimeoutOrNull(timeout) { answer.pieces.receiveCatching() }
                     ?: return recordBroken(request, target, "event incomplete, waited $timeout for the next bytes")
-            piece.exceptionOrNull()?.let { return recordBroken(request, target, it.toString()) }
+            piece.exceptionOrNull()?.let {
+                if (!hasEvents) {
+                    promptGuard.lost(target, request.id, request.sharedParts, hasBegun = true)
+                }
+                return recordBroken(request, target, it.toString())
+            }
             val bytes = piece.getOrNull() ?: break
             val events = assembler.accept(bytes.bytes)
+            if (!hasEvents && events.isNotEmpty()) {
+                hasEvents = true
+                promptGuard.answered(request.sharedParts)
+            }
             for (event in events) {
                 begin(request, answer)
                 request.lastEvent = event.id ?: request.lastEvent
@@ -321,7 +339,8 @@
             now() - request.exchange.arrivedAt,
             request.isAnswerStarted,
         )
-        if (request.isAnswerStarted) request.exchange.abort() else request.exchange.refuse(refusal, RETRY_AFTER)
+        val retryAfter = promptGuard.findQuarantined(request.sharedParts)?.let { it.until - now() } ?: RETRY_AFTER
+        if (request.isAnswerStarted) request.exchange.abort() else request.exchange.refuse(refusal, retryAfter)
     }
 
     private companion object {
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineRequest.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineRequest.kt
@@ -1,13 +1,18 @@
 package tanagerlane.direct
 
 import io.vertx.core.buffer.Buffer
+import tanagerlane.model.PromptPart
 import tanagerlane.model.ServiceName
 import tanagerlane.model.TargetName
 import tanagerlane.serving.ServingRoute
 import tanagerlane.serving.ServingWorkspace
 import kotlin.time.Instant
 
-/** State of a caller's request while it is sent to one or more targets. */
+/**
+ * State of a caller's request while it is sent to one or more targets.
+ *
+ * @property sharedParts parts of the prompt that other requests may share
+ */
 internal class OnlineRequest(
     val exchange: CallerExchange,
     val id: String,
@@ -16,6 +21,7 @@
     val workspace: ServingWorkspace?,
     val body: Buffer,
     val deadline: Instant,
+    val sharedParts: List<PromptPart>,
 ) {
     /** Targets at which the request was attempted. */
     val triedTargets = HashSet<TargetName>()
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetClient.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetClient.kt
@@ -21,6 +21,7 @@
 import tanagerlane.runtime.InterimAnswers
 import tanagerlane.wire.WireAddress
 import java.io.IOException
+import java.net.ConnectException
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
@@ -65,6 +66,23 @@
         }
     }
 
+    /** Whether [target] refuses connections, as it does while its process does not run. */
+    suspend fun isRefusing(target: DirectTarget): Boolean {
+        val address = WireAddress.parse(target.address) ?: return false
+        return try {
+            withTimeoutOrNull(CONNECT_TIMEOUT) { client.connect(optionsFor(address)).coAwait() }?.close()
+            false
+        } catch (exception: CancellationException) {
+            throw exception
+        } catch (exception: ConnectException) {
+            logger.debug("connection refused target={} cause={}", target.name, exception.toString())
+            true
+        } catch (exception: IOException) {
+            logger.debug("connect failed target={} cause={}", target.name, exception.toString())
+            false
+        }
+    }
+
     /** Closes the idle connections to targets at addresses other than [addresses]. */
     fun keepOnly(addresses: Set<String>): Unit = idle.keepOnly(addresses)
 
@@ -77,14 +95,9 @@
         val address =
             WireAddress.parse(target.address)
                 ?: return Err(CallFault.NotSent("address is not IP:port: ${target.address}"))
-        val options =
-            HttpConnectOptions()
-                .setHost(address.host)
-                .setPort(address.port)
-                .setConnectTimeout(CONNECT_TIMEOUT.inWholeMilliseconds)
         return try {
             val httpConnection =
-                withTimeoutOrNull(minOf(timeout, CONNECT_TIMEOUT)) { client.connect(options).coAwait() }
+                withTimeoutOrNull(minOf(timeout, CONNECT_TIMEOUT)) { client.connect(optionsFor(address)).coAwait() }
             if (httpConnection == null) {
                 Err(CallFault.NotSent("connection timed out: ${target.address}"))
             } else {
@@ -98,6 +111,12 @@
         }
     }
 
+    private fun optionsFor(address: WireAddress) =
+        HttpConnectOptions()
+            .setHost(address.host)
+            .setPort(address.port)
+            .setConnectTimeout(CONNECT_TIMEOUT.inWholeMilliseconds)
+
     private companion object {
         /** Time limit for opening a connection; targets are a few milliseconds away. */
         val CONNECT_TIMEOUT = 400.milliseconds
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeDeployment.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeDeployment.kt
@@ -15,6 +15,7 @@
 import tanagerlane.model.Incarnation
 import tanagerlane.model.JobId
 import tanagerlane.model.Payload
+import tanagerlane.model.PromptPart
 import tanagerlane.model.RequestId
 import tanagerlane.model.Revision
 import tanagerlane.model.ServiceName
@@ -119,11 +120,13 @@
                     notRun = "Not-Run",
                     resumeAfter = "Last-Event-Id",
                     wait = "Wait-Ms",
+                    promptParts = "Prompt-Prefix",
                 ),
             configuration = ViewSource("config") { Ok(configuration()) },
             targets = ViewSource("targets") { Ok(targetOf(it.name, it.value?.toText().orEmpty())) },
             removals = ViewSource("removals") { Ok(HostRemoval(HostName(it.name), isDone = false)) },
             jobs = JobBodyFormat(items = { Ok(itemsOf(it.toText())) }, results = ::resultsOf),
+            sharedParts = { header -> header.split(',').dropLast(1).map { PromptPart(it.substringBefore(':')) } },
             classify = ::classify,
             reportDrained = { true },
         )
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeTarget.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeTarget.kt
@@ -1,6 +1,8 @@
 package tanagerlane.direct
 
+import io.vertx.core.Future
 import io.vertx.core.Vertx
+import io.vertx.core.http.HttpServer
 import io.vertx.core.http.HttpServerRequest
 import io.vertx.core.http.HttpServerResponse
 import io.vertx.kotlin.coroutines.coAwait
@@ -14,6 +16,7 @@
  * @property events number of events of each stream
  * @property pauseMilliseconds time between two events, in milliseconds
  * @property eventBytes number of filler bytes added to each event
+ * @property restartMilliseconds time from a crash until the target listens again, in milliseconds
  */
 internal class FakeTarget(
     private val vertx: Vertx,
@@ -21,6 +24,7 @@
     private val events: Int = 10,
     private val pauseMilliseconds: Long = 5,
     private val eventBytes: Int = 0,
+    private val restartMilliseconds: Long = 500,
 ) {
     /** Requests received, each as its id and the event after which its stream resumes. */
     val requests = CopyOnWriteArrayList<String>()
@@ -41,6 +45,15 @@
     @Volatile
     var isSilent = false
 
+    /** Part of a prompt on which the target crashes once it begins to answer, or null. */
+    @Volatile
+    var crashesOn: String? = null
+
+    /** Number of crashes; connections are refused for [restartMilliseconds] after each. */
+    @Volatile
+    var crashes = 0
+        private set
+
     /** Returns the piece that is sent endlessly to the request with the given id, or null if it gets a stream. */
     @Volatile
     var endless: (id: String) -> EndlessPiece? = { null }
@@ -55,24 +68,42 @@
     var port = 0
         private set
 
+    private var server: HttpServer? = null
+
     suspend fun start(): FakeTarget {
-        port =
-            vertx
-                .createHttpServer()
-                .requestHandler(::serve)
-                .listen(0, "127.0.0.1")
-                .coAwait()
-                .actualPort()
+        port = listen().coAwait().actualPort()
         return this
     }
 
+    private fun listen(): Future<HttpServer> =
+        vertx
+            .createHttpServer()
+            .requestHandler(::serve)
+            .listen(port, "127.0.0.1")
+            .onSuccess { server = it }
+
+    /** Sends the head of an answer, then ends all connections and refuses new ones until the target has restarted. */
+    private fun crash(response: HttpServerResponse) {
+        crashes++
+        response.setChunked(true).writeHead()
+        vertx.setTimer(1) { server?.close() }
+        vertx.setTimer(restartMilliseconds) { listen() }
+    }
+
     private fun serve(request: HttpServerRequest) {
         val id = request.getHeader("Attempt-Id")
         val after = request.getHeader("Last-Event-Id")?.toInt() ?: 0
         requests += "$id after $after"
         val response = request.response().putHeader("Attempt-Id", id).putHeader("Server-Stamp", name)
+        val parts =
+            request
+                .getHeader("Prompt-Prefix")
+                .orEmpty()
+                .split(',')
+                .map { it.substringBefore(':') }
         request.body().onSuccess {
             when {
+                crashesOn in parts -> crash(response)
                 isSilent -> Unit
                 refuses -> response.putHeader("Not-Run", "1").setStatusCode(503).end()
                 status != 200 -> response.setStatusCode(status).end("failed")
