--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/PromptGuard.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/PromptGuard.kt
@@ -85,11 +85,8 @@
 
     private fun logChanges() {
         val parts = quarantine.parts.associateBy { it.part }
-        if (parts == knownParts) {
-            return
-        }
         for (part in parts.values) {
-            if (part != knownParts[part.part]) {
+            if (part.crashes != knownParts[part.part]?.crashes) {
                 logger.warn(
                     "prompt part quarantined part={} crashes={} remaining={}",
                     part.part,
