Send a request over no connection that has sent it before

Callers saw: nothing so far. Both users of TargetClient, OnlineHandler and ItemRunner, close the connection of each refusal, because they do not read it to its end. Were a refused connection kept, a request that a target was running would count as not run (503, or a second run elsewhere), and so would an item.

Cause: a connection was passed over for a request only if its last request had the same id. After another request in between it was used again, and a refusal (or any answer) of the earlier attempt that a faulty target wrote once more bore the right id.

Evidence: RepeatedRefusalTest "a refusal repeated after one other request is not taken for the answer to a retry that runs" failed on the code before: expected ["503", "200", "200"] but was ["503", "200", "503"]; so did the case of 100 other requests, at index 101. Its cases of a second refusal or its first headers on the idle connection, of a refusal without an id and of a second answer after a refusal passed before and after. RepeatedRefusalServingTest (a request through an entry, an item) passed before.

Fix: a connection remembers the ids that it has sent, as hashes, and carries none of them again. After 1024 requests (4 KiB) it is closed. A hash that two ids share costs a new connection, nothing else. Connections that are passed over stay open for other requests; only if there is no other, one is closed, as before, so that a target does not get more of them.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/IdleConnections.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/IdleConnections.kt
@@ -18,20 +18,30 @@
     /**
      * Returns an idle connection to [address] for [request], or null if there is none.
      *
-     * Connections that the target may have closed for inactivity are closed and skipped. So are connections that last
-     * carried the same request, because a duplicate answer to it could not be distinguished from the expected one.
+     * Connections that the target may have closed for inactivity are closed. Those that have sent the same request
+     * before are skipped, because a duplicate answer to it could not be distinguished from the expected one. If there
+     * are no others, one of them is closed, so that the number of connections does not grow.
      */
     fun take(
         address: String,
         request: String,
     ): TargetConnection? {
         val idle = byAddress[address] ?: return null
-        while (true) {
-            val last = idle.removeLastOrNull() ?: return null
-            if (!last.connection.isClosed && last.connection.lastRequest != request && now() < last.usableUntil) {
-                return last.connection
-            }
-            last.connection.close()
+        closeUnusable(idle)
+        val index = idle.indexOfLast { !it.connection.mayRepeatAnswer(request) }
+        if (index >= 0) {
+            return idle.removeAt(index).connection
+        }
+        idle.removeFirstOrNull()?.connection?.close()
+        return null
+    }
+
+    private fun closeUnusable(idle: ArrayDeque<IdleConnection>) {
+        val time = now()
+        idle.removeAll { entry ->
+            val isUnusable = entry.connection.isClosed || time >= entry.usableUntil
+            if (isUnusable) entry.connection.close()
+            isUnusable
         }
     }
 
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetClient.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetClient.kt
@@ -29,7 +29,7 @@
  * HTTP client for targets, with one request at a time on a connection.
  *
  * An answer belongs to a request only if it repeats the id of the request; a connection on which anything else
- * arrives is closed.
+ * arrives is closed. No connection sends the same id twice.
  *
  * @param requestIdHeader name of the header that carries the id of a request in the request and its answer
  */
@@ -119,7 +119,7 @@
 
     suspend fun run(request: TargetRequest): Result<TargetAnswer, CallFault> {
         var isSent = false
-        connection.lastRequest = id
+        connection.recordSent(id)
         return try {
             val options = RequestOptions().setMethod(request.method).setURI(request.uri).setHeaders(request.headers)
             val outgoing = connection.httpConnection.request(options).coAwait()
@@ -189,6 +189,7 @@
 
     private fun isReusable(response: HttpClientResponse): Boolean =
         hasLength(response) &&
+            !connection.isUsedUp &&
             response.getHeader(requestIdHeader) == id &&
             response.getHeader("connection")?.lowercase() != "close"
 
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetConnection.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetConnection.kt
@@ -7,8 +7,10 @@
     val address: String,
     val httpConnection: HttpClientConnection,
 ) {
-    /** Id of the last request sent, whose answer may arrive a second time, or null. */
-    var lastRequest: String? = null
+    private val sentRequests = SentRequests()
+
+    /** Whether the connection has sent as many requests as it can remember. */
+    val isUsedUp: Boolean get() = sentRequests.isFull
 
     /** Whether the connection is closed or being closed. */
     var isClosed = false
@@ -23,6 +25,12 @@
         httpConnection.closeHandler { isClosed = true }
     }
 
+    /** Records that the request with the id [request] is sent. */
+    fun recordSent(request: String): Unit = sentRequests.add(request)
+
+    /** Whether the target may send an answer again that it gave to an earlier attempt of [request]. */
+    fun mayRepeatAnswer(request: String): Boolean = request in sentRequests
+
     fun close() {
         isClosed = true
         httpConnection.close()
