Confirm a read anew after the pages of a job were read again

Cause: once the page after the copy's last one was found, the read waited only until the copy was no longer marked as stale. A listing under way cleared the mark, though it had been taken before the page that the read looked for. The check was not repeated with the longer copy either.

Evidence: a new test in ListedResultsTest delays the answer of the listing until the second read has checked.

Now a read waits until the copy contains the page that was found, and marks the copy as stale again if a listing lacked it. It then checks again, until the position is known, the job is complete, or the store has no further page. The time limit is the same.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobRunner.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobRunner.kt
@@ -126,7 +126,7 @@
         scope.launch {
             withTimeoutOrNull(query.wait) { while (!canAnswer(query)) assignedJobs[query.job]?.logChange?.await() }
             val job = assignedJobs[query.job]?.takeUnless { isLeaving() }
-            val isSure = job == null || job.log.listed.size > query.after || isCurrent(job)
+            val isSure = job == null || isCurrent(job, query.after)
             val results =
                 job
                     ?.takeIf { isSure }
@@ -141,34 +141,51 @@
     }
 
     /**
-     * Whether all stored results of [job] are known here; reads the missing ones if there are any.
+     * Whether the results of [job] at position [after] are known here, or known not to exist; reads them if needed.
      *
      * Another process may have appended pages without this one noticing, so a copy that is not complete proves nothing
      * about results that it lacks. It is current if the page after its last one does not exist.
      */
-    private suspend fun isCurrent(job: AssignedJob): Boolean =
-        job.log.isComplete || withTimeoutOrNull(CONFIRMATION_TIMEOUT) { confirm(job) } ?: false
-
-    private suspend fun confirm(job: AssignedJob): Boolean {
-        val hasNextPage =
-            storage.hasPage(job.log.record.job, job.log.pages).getOrElse { failure ->
-                logger.warn(
-                    "results not confirmed job={} pages={} cause={}",
-                    job.log.record.job,
-                    job.log.pages,
-                    failure,
-                )
-                return false
+    private suspend fun isCurrent(
+        job: AssignedJob,
+        after: Int,
+    ): Boolean = hasPosition(job, after) || withTimeoutOrNull(CONFIRMATION_TIMEOUT) { confirm(job, after) } ?: false
+
+    private fun hasPosition(
+        job: AssignedJob,
+        after: Int,
+    ): Boolean = job.log.listed.size > after || job.log.isComplete
+
+    private suspend fun confirm(
+        job: AssignedJob,
+        after: Int,
+    ): Boolean {
+        while (!hasPosition(job, after)) {
+            val pages = job.log.pages
+            val hasNextPage =
+                storage.hasPage(job.log.record.job, pages).getOrElse { failure ->
+                    logger.warn("results not confirmed job={} pages={} cause={}", job.log.record.job, pages, failure)
+                    return false
+                }
+            if (!hasNextPage) {
+                return true
             }
-        if (hasNextPage) {
-            logger.info("copy is behind job={} pages={} ended={}", job.log.record.job, job.log.pages, job.log.isEnded)
+            logger.info("copy is behind job={} pages={} ended={}", job.log.record.job, pages, job.log.isEnded)
+            awaitPage(job, pages)
+        }
+        return true
+    }
+
+    /** Reads the pages of [job] until the one with number [page] is known; a read under way may have missed it. */
+    private suspend fun awaitPage(
+        job: AssignedJob,
+        page: Int,
+    ) {
+        while (job.log.pages <= page) {
             job.mayBeStale = true
             requestSchedulingPass()
-            while (job.mayBeStale) {
-                job.logChange.await()
-            }
+            job.logChange.await()
         }
-        return true
     }
 
     private fun logAnswer(
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/ListedResultsTest.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/ListedResultsTest.kt
@@ -1,5 +1,6 @@
 package tanagerlane.direct
 
+import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.getOrElse
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.FunSpec
@@ -7,16 +8,27 @@
 import io.kotest.matchers.shouldBe
 import io.vertx.core.Vertx
 import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.async
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeout
+import kotlinx.coroutines.withTimeoutOrNull
 import tanagerlane.joblog.ItemEnd
 import tanagerlane.joblog.ListedResult
 import tanagerlane.model.JobId
 import tanagerlane.model.RequestId
+import tanagerlane.store.Listing
+import tanagerlane.store.ObjectKey
+import tanagerlane.store.ObjectStore
+import tanagerlane.store.StoreFailure
+import tanagerlane.store.StoredObject
 import java.net.URI
 import java.net.http.HttpClient
 import java.net.http.HttpRequest
 import java.net.http.HttpResponse
+import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -67,11 +79,15 @@
             return RunningJob(deployment, store, port)
         }
 
-        /** Appends the first page of results, as a second runner would that believes the job to be its own. */
-        suspend fun appendByAnotherRunner(deployment: FakeDeployment) {
-            val result = ListedResult(RequestId("i1"), ItemEnd.COMPLETED, "event 1")
+        /** Appends a page with the result of [item], as a second runner would that believes the job to be its own. */
+        suspend fun appendByAnotherRunner(
+            deployment: FakeDeployment,
+            page: Int = 0,
+            item: String = "i1",
+        ) {
+            val result = ListedResult(RequestId(item), ItemEnd.COMPLETED, "event 1")
             JobStorage(deployment.store, PART_BYTES)
-                .append(JobId("night"), page = 0, results = listOf(result))
+                .append(JobId("night"), page, results = listOf(result))
                 .getOrElse { error("$it") }
         }
 
@@ -89,6 +105,18 @@
             }
         }
 
+        test("a result that was listed while the runner read the pages again is not missing from a read") {
+            val held = HeldListing()
+            val job = startRunningJob(FakeTarget(vertx, "t1", events = 2_000)) { FlakyStore(held.over(it.store)) }
+            appendByAnotherRunner(job.deployment)
+            held.holdNext()
+            val first = async { send(job.port, "GET", "/results/night?after=0") }
+            held.awaitTaken()
+            appendByAnotherRunner(job.deployment, page = 1, item = "i2")
+            send(job.port, "GET", "/results/night?after=1").body() shouldBe "i2 COMPLETED 1\n2 of 2"
+            first.await()
+        }
+
         test("a read that finds nothing new is refused while the object API cannot confirm that nothing is listed") {
             val job = startRunningJob(FakeTarget(vertx, "t1", events = 2_000))
             job.store.isUnavailable = true
@@ -107,6 +135,33 @@
             send(job.port, "GET", "/results/night?after=2").body() shouldBe "2 of 2"
         }
     }) {
+    /** Delays the answer of one listing of results until a later check for the first page has been answered. */
+    private class HeldListing {
+        private val isDue = AtomicBoolean()
+        private val taken = CompletableDeferred<Unit>()
+        private val checkedLater = CompletableDeferred<Unit>()
+
+        fun holdNext() = isDue.set(true)
+
+        suspend fun awaitTaken() = withTimeout(CALL_TIMEOUT) { taken.await() }
+
+        fun over(store: ObjectStore): ObjectStore =
+            object : ObjectStore by store {
+                override suspend fun get(key: ObjectKey): Result<StoredObject, StoreFailure> =
+                    store.get(key).also { if (taken.isCompleted && key == FIRST_PAGE) checkedLater.complete(Unit) }
+
+                override suspend fun list(prefix: String): Result<Listing, StoreFailure> {
+                    val listing = store.list(prefix)
+                    if (FIRST_PAGE.path.startsWith(prefix) && isDue.compareAndSet(true, false)) {
+                        taken.complete(Unit)
+                        withTimeoutOrNull(MAXIMUM_HOLD_TIME) { checkedLater.await() }
+                        delay(HOLD_TIME)
+                    }
+                    return listing
+                }
+            }
+    }
+
     private class RunningJob(
         val deployment: FakeDeployment,
         val store: FlakyStore,
@@ -116,6 +171,9 @@
     private companion object {
         val CALL_TIMEOUT = 20.seconds
         val READ_WAIT = 300.milliseconds
+        val MAXIMUM_HOLD_TIME = 1.seconds
+        val HOLD_TIME = 20.milliseconds
+        val FIRST_PAGE = ObjectKey("job-results-night/000000")
         const val PART_BYTES = 100_000
     }
 }
