Keep an object that was deleted and created again in one update of a view

What callers would see: requests are refused, or spread over fewer targets, though a target is registered: it is missing from the views of all processes until its entry changes again. A process that registers anew may be missing from the members in the same way.

Cause: one answer of a watch may contain the deletion of an object and its creation afterwards, for instance when registrations that expired during an outage of the object API come back. ObjectView added the changed objects of an update first, and then removed every name that the update deletes.

Evidence: a new case in ObjectViewTest failed before the change: "expected: objects={a=ViewObject(name=a, version=12, ...), b=...} but was: objects={b=...}". That this happened to users is not shown.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/views/ObjectView.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/views/ObjectView.kt
@@ -36,10 +36,17 @@
     ): ViewUpdate =
         ViewUpdate(host = host, kind = kind, after = 0, at = at.number, objects = objects.values.toList(), age = age)
 
+    /** Applies the changes in their order, as one update may delete an object and create it again. */
     private fun withChanges(update: ViewUpdate): Map<String, ViewObject> {
-        val newer = update.objects.filter { it.version > (objects[it.name]?.version ?: 0) }
-        val deleted = newer.filter { it.value == null }.map { it.name }
-        return objects + newer.filter { it.value != null }.associateBy { it.name } - deleted.toSet()
+        val changed = objects.toMutableMap()
+        for (change in update.objects) {
+            when {
+                change.version <= (changed[change.name]?.version ?: 0) -> Unit
+                change.value == null -> changed.remove(change.name)
+                else -> changed[change.name] = change
+            }
+        }
+        return changed
     }
 
     private fun withoutDeleted(update: ViewUpdate): Map<String, ViewObject> =
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/views/ObjectViewTest.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/views/ObjectViewTest.kt
@@ -41,6 +41,16 @@
                 update(after = 10, at = 13, ViewObject("a", 13, null)),
                 ObjectView("targets", ObjectVersion(13), mapOf("b" to stored("b", 9))),
             ),
+            UpdateCase(
+                "an object that was deleted and created again is kept",
+                update(after = 10, at = 13, ViewObject("a", 13, null), stored("a", 12)),
+                ObjectView("targets", ObjectVersion(13), mapOf("a" to stored("a", 12), "b" to stored("b", 9))),
+            ),
+            UpdateCase(
+                "an object that was created and deleted again is removed",
+                update(after = 10, at = 13, stored("c", 11), ViewObject("c", 13, null)),
+                view.copy(at = ObjectVersion(13)),
+            ),
             UpdateCase(
                 "a complete copy replaces everything",
                 update(after = 0, at = 20, stored("d", 18)),
