Start the numbers of queries and relayed calls anywhere instead of at 1

What callers would see: results of another job, or an empty list or 404 of another object, after a restart of the process that they ask.

Cause: replies are matched with queries of results and with relayed calls of the object API by their number alone, and each instance of a process counted from 1. A process that was frozen or slow answers the calls of an earlier instance over a new connection to the later one, which took such a reply for the answer to its own call of the same number. Only a call that is open at that moment can be hit, so this is rare.

Evidence: the new tests give the reply to an earlier instance's call to a later instance. That this happened to users is not shown.

Now the numbers of each instance start at a random 64-bit number, so those of two instances do not meet. Receivers only repeat the number, so older builds need no change. ResultsClient takes the function that sends, as StoreRelay does, so that it can be tested without a fleet.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
@@ -85,7 +85,7 @@
     private val storeRelay = StoreRelay(deployment.store, scope, { fleet.relayCandidates }, fleet::send, clock::now)
     private val storage = JobStorage(storeRelay, settings.maximumValueBytes / VALUE_OVERHEAD)
     private val jobIndex = JobIndex(storage)
-    private val resultsClient = ResultsClient(fleet)
+    private val resultsClient = ResultsClient(fleet::send)
     private val membership = Membership(deployment.store, fleet, clock::now)
     private val decodedConfigurations = DecodedObjects(deployment.configuration)
     private val decodedTargets = DecodedObjects(deployment.targets)
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ResultsClient.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ResultsClient.kt
@@ -4,18 +4,26 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import tanagerlane.message.ResultsQuery
 import tanagerlane.message.ResultsReply
+import tanagerlane.message.WireMessage
 import tanagerlane.model.HostName
 import tanagerlane.model.JobId
+import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Queries the runners of jobs for results. */
+/**
+ * Queries the runners of jobs for results.
+ *
+ * @param send sends a message to another process
+ */
 internal class ResultsClient(
-    private val fleet: Fleet,
+    private val send: (HostName, WireMessage) -> Unit,
 ) {
     /** Queries without a reply, by their number. */
     private val open = HashMap<Long, CompletableDeferred<ResultsReply>>()
-    private var queryCount = 0L
+
+    /** Starts anywhere, so that a late reply to an earlier instance of this process answers no query of this one. */
+    private var lastQueryNumber = Random.nextLong()
 
     /**
      * Queries [runner] for the results of [job] from position [after] on; returns null if it replies too late.
@@ -28,11 +36,11 @@
         after: Int,
         wait: Duration,
     ): ResultsReply? {
-        val queryId = ++queryCount
+        val queryId = ++lastQueryNumber
         val reply = CompletableDeferred<ResultsReply>()
         open[queryId] = reply
         try {
-            fleet.send(runner, ResultsQuery(queryId, job, after, wait))
+            send(runner, ResultsQuery(queryId, job, after, wait))
             return withTimeoutOrNull(wait + REPLY_MARGIN) { reply.await() }
         } finally {
             open.remove(queryId)
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/StoreRelay.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/StoreRelay.kt
@@ -26,6 +26,7 @@
 import tanagerlane.store.StoreFailure
 import tanagerlane.store.StorePaths
 import tanagerlane.store.StoredObject
+import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
 
@@ -47,7 +48,9 @@
     private val now: () -> Instant,
 ) : ObjectStore by store {
     private val open = HashMap<Long, CompletableDeferred<RelayedReply>>()
-    private var lastCallNumber = 0L
+
+    /** Starts anywhere, so that a late reply to an earlier instance of this process answers no call of this one. */
+    private var lastCallNumber = Random.nextLong()
     private var callsForPeers = 0
     private var paths = StorePaths()
 
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/StoreRelayTest.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/StoreRelayTest.kt
@@ -1,16 +1,22 @@
 package tanagerlane.direct
 
 import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.map
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
 import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.async
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
 import tanagerlane.message.RelayedCall
+import tanagerlane.message.RelayedOutcome
 import tanagerlane.message.RelayedReply
+import tanagerlane.message.ViewObject
 import tanagerlane.model.HostName
 import tanagerlane.model.Payload
 import tanagerlane.standin.store.MemoryObjectStore
@@ -58,6 +64,32 @@
             }
         }
 
+        test("a reply to a call of an earlier instance of a process is not taken for one to a later instance") {
+            runTest {
+                val calls = ArrayList<RelayedCall>()
+                val store = FlakyStore(MemoryObjectStore()).also { it.isUnavailable = true }
+                val (earlier, later) =
+                    List(2) {
+                        StoreRelay(
+                            store = store,
+                            scope = backgroundScope,
+                            reachable = { setOf(HostName("helper")) },
+                            send = { _, message -> calls += message as RelayedCall },
+                            now = { Instant.fromEpochMilliseconds(currentTime) },
+                        )
+                    }
+                backgroundScope.launch { earlier.get(ObjectKey("jobs/a")) }
+                delay(10.milliseconds)
+                val read = async { later.get(ObjectKey("jobs/b")) }
+                delay(10.milliseconds)
+                for (call in calls) {
+                    val found = ViewObject(call.path, version = 1, value = Payload.of("value of ${call.path}"))
+                    later.onReply(RelayedReply(call.call, RelayedOutcome.DONE, version = 0, objects = listOf(found)))
+                }
+                read.await().map { it.value.toText() } shouldBe Ok("value of jobs/b")
+            }
+        }
+
         test("a call is not sent to relays that have just failed") {
             runTest {
                 val fleet = FakeRelays(this, relayCount = 2)
