--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
@@ -125,7 +125,16 @@
             storage = storage,
             jobIndex = jobIndex,
             loadBalancer = loadBalancer,
-            itemRunner = ItemRunner(targetClient, headers, deployment.headers, promptGuard, ::sharedParts),
+            itemRunner =
+                ItemRunner(
+                    targetClient,
+                    headers,
+                    deployment.headers,
+                    onAnswered = { promptGuard.answered(sharedParts(it)) },
+                    onLost = { item, target, hasBegun ->
+                        promptGuard.lost(target, item.id.text, sharedParts(item), hasBegun)
+                    },
+                ),
             isQuarantined = { promptGuard.findQuarantined(sharedParts(it)) != null },
             progressSaver = progressSaver,
             metrics = metrics,
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ItemRunner.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ItemRunner.kt
@@ -7,7 +7,6 @@
 import org.slf4j.LoggerFactory
 import tanagerlane.joblog.JobRecord
 import tanagerlane.joblog.RawItem
-import tanagerlane.model.PromptPart
 import tanagerlane.places.DirectTarget
 import tanagerlane.runtime.MonotonicClock
 import tanagerlane.streams.AnswerLimits
@@ -16,13 +15,19 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
-/** Runs items of jobs at targets; a run resumes after the last event that an earlier run received. */
+/**
+ * Runs items of jobs at targets; a run resumes after the last event that an earlier run received.
+ *
+ * @param onAnswered called when a target has written the first event of a run
+ * @param onLost called when the connection of a run ended before its first event, with whether the target had begun to
+ *   answer
+ */
 internal class ItemRunner(
     private val client: TargetClient,
     private val headers: RequestHeaders,
     private val headerNames: HeaderNames,
-    private val promptGuard: PromptGuard,
-    private val sharedParts: (RawItem) -> List<PromptPart>,
+    private val onAnswered: (RawItem) -> Unit = {},
+    private val onLost: (RawItem, DirectTarget, hasBegun: Boolean) -> Unit = { _, _, _ -> },
     private val now: () -> Instant = MonotonicClock()::now,
 ) {
     /**
@@ -56,7 +61,7 @@
             client.call(target, request, HEAD_TIMEOUT).getOrElse { fault ->
                 logger.info("item call failed item={} target={} fault={}", item.id, target.name, fault)
                 if (fault is CallFault.Lost) {
-                    promptGuard.lost(target, item.id.text, sharedParts(item), hasBegun = false)
+                    onLost(item, target, false)
                 }
                 return if (fault is CallFault.NotSent) ItemEnding.NOT_RUN else ItemEnding.BROKEN
             }
@@ -93,14 +98,13 @@
         target: DirectTarget,
     ): ItemEnding {
         val assembler = EventAssembler()
-        val parts = sharedParts(progress.item)
         var hasEvents = false
         val partialEventTimer = PartialEventTimer(EVENT_TIMEOUT)
         while (true) {
             val timeout = minOf(SILENCE_TIMEOUT, partialEventTimer.timeLeft(now()))
             val piece = withTimeoutOrNull(timeout) { answer.pieces.receiveCatching() }
             if (piece?.exceptionOrNull() != null && !hasEvents) {
-                promptGuard.lost(target, progress.item.id.text, parts, hasBegun = true)
+                onLost(progress.item, target, true)
             }
             if (piece == null || piece.exceptionOrNull() != null) {
                 return interrupted(
@@ -112,7 +116,7 @@
             val events = assembler.accept(bytes.bytes)
             if (!hasEvents && events.isNotEmpty()) {
                 hasEvents = true
-                promptGuard.answered(parts)
+                onAnswered(progress.item)
             }
             if (!events.all(progress::add)) {
                 logger.info("item answer too long item={} events={}", progress.item.id, progress.eventCount)
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/RepeatedRefusalServingTest.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/RepeatedRefusalServingTest.kt
@@ -112,6 +112,7 @@
                     notRun = "Not-Run",
                     resumeAfter = "Last-Event-Id",
                     wait = "Wait-Ms",
+                    promptParts = "Prompt-Prefix",
                 )
             val target =
                 DirectTarget(
