Bound the time of a read of results

What callers would see: with a silent store and no runner to answer, a read of results got its 503 after 10 s; callers allow 1.5 s beyond the time for which they want to wait, so they gave up without an answer.

Cause: the query of the runner, the direct call of the store and the calls through relays each have a limit, one after the other, and nothing bounds their sum.

Evidence: ListedResultsTest "a read is refused in time while neither a runner nor the object API answers" failed before: 10.01 s should be < 1.8 s. It is refused after 1.2 s beyond the wait now, with Retry-After.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobCallHandler.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobCallHandler.kt
@@ -8,6 +8,7 @@
 import io.vertx.core.buffer.Buffer
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
 import tanagerlane.joblog.JobRecord
 import tanagerlane.joblog.ListedResult
@@ -76,6 +77,20 @@
         job: JobId,
         after: Int,
         workspace: WorkspaceName?,
+    ) {
+        val isAnswered =
+            withTimeoutOrNull(exchange.wait + READ_TIMEOUT) { answerResults(exchange, job, after, workspace) }
+        if (isAnswered == null) {
+            logger.warn("results not read job={} cause=not known within {}", job, exchange.wait + READ_TIMEOUT)
+            exchange.refuse(notRun(RefusalReason.STORE_UNAVAILABLE), RETRY_AFTER)
+        }
+    }
+
+    private suspend fun answerResults(
+        exchange: CallerExchange,
+        job: JobId,
+        after: Int,
+        workspace: WorkspaceName?,
     ) {
         val record = ownRecord(exchange, job, workspace) ?: return
         val listed =
@@ -276,6 +291,9 @@
 
         /** Bytes of a result in addition to its text. */
         const val RESULT_OVERHEAD_BYTES = 100
+
+        /** Time limit for a read of results, beside the time for which the caller wants to wait for new ones. */
+        val READ_TIMEOUT = 1200.milliseconds
         val JOB_NAME_PATTERN = Regex("[A-Za-z0-9._-]{1,128}")
         val NO_HEADERS = emptyMap<String, String>().entries
         val RETRY_AFTER = 300.milliseconds
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/ListedResultsTest.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/ListedResultsTest.kt
@@ -5,6 +5,7 @@
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.comparables.shouldBeGreaterThan
+import io.kotest.matchers.comparables.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import io.vertx.core.Vertx
 import io.vertx.kotlin.coroutines.coAwait
@@ -125,6 +126,17 @@
             answer.headers().firstValue("Retry-After").isPresent shouldBe true
         }
 
+        test("a read is refused in time while neither a runner nor the object API answers") {
+            val deployment = FakeDeployment(vertx, listOf(FakeTarget(vertx, "t1").start())).also { it.prepare() }
+            val store = FlakyStore(deployment.store, failureDelay = 10.seconds)
+            val port = deployment.start("entry-1", "entry", store).port
+            eventually(10.seconds) { send(port, "GET", "/ready").statusCode() shouldBe 200 }
+            send(port, "POST", "/jobs/x", "i1").statusCode() shouldBe 202
+            store.isUnavailable = true
+            val time = measureTime { send(port, "GET", "/results/night", wait = READ_WAIT).statusCode() shouldBe 503 }
+            time shouldBeLessThan READ_WAIT + CALLER_PATIENCE
+        }
+
         test("the results of a finished job are read while the object API is unavailable") {
             val job = startRunningJob(FakeTarget(vertx, "t1", events = 100))
             eventually(20.seconds) {
@@ -171,6 +183,9 @@
     private companion object {
         val CALL_TIMEOUT = 20.seconds
         val READ_WAIT = 300.milliseconds
+
+        /** Time beyond the requested one after which callers give up a read. */
+        val CALLER_PATIENCE = 1500.milliseconds
         val MAXIMUM_HOLD_TIME = 1.seconds
         val HOLD_TIME = 20.milliseconds
         val FIRST_PAGE = ObjectKey("job-results-night/000000")
