Count the requests that a target with very many places takes without an overflow

What callers saw: every request for a service was refused as overloaded while its other targets were free, as long as one odd entry claimed the largest number of places (an entry with slots of 1e300 was read as that number).

Cause: LoadBalancer added the places of a target and its queue as Int. For places the sum is negative, so the target counted as full with no request at it. It also has the most free places, so it was selected each time as soon as the others were nearly full.

The sum is a Long now.

Evidence: LoadBalancerTest, "is sent to a target that claims the largest number of places", failed before: Expected "x" but actual was null. Sums and differences elsewhere in the class can't overflow: places are positive, and counts are subtracted from them.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/places/LoadBalancer.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/places/LoadBalancer.kt
@@ -109,7 +109,7 @@
             selections++
             val best = healthy.minWith(placementOrder(now))
             val load = loadOf(best.name, now)
-            if (load.online >= best.places + queueCapacity(best)) Placement.Full else Placement.At(best)
+            if (load.online >= capacity(best)) Placement.Full else Placement.At(best)
         }
 
     /**
@@ -200,7 +200,9 @@
         load: TargetLoad,
     ): Int = (load.online + 1 - target.places).coerceAtLeast(0)
 
-    private fun queueCapacity(target: DirectTarget): Int = ceil(target.places * settings.queueShare).toInt()
+    /** Online requests that [target] runs and queues; with the largest number of places, more than an [Int] holds. */
+    private fun capacity(target: DirectTarget): Long =
+        target.places + ceil(target.places * settings.queueShare).toLong()
 
     private fun loadOf(
         target: TargetName,
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/places/LoadBalancerTest.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/places/LoadBalancerTest.kt
@@ -87,6 +87,12 @@
                 listOf(at("x", online = 9)),
                 expected = "x",
             ),
+            PlacementCase(
+                "is sent to a target that claims the largest number of places",
+                listOf(target("x").copy(places = Int.MAX_VALUE), target("y")),
+                listOf(at("y", online = 8)),
+                expected = "x",
+            ),
             PlacementCase(
                 "is refused if the queue is full",
                 listOf(target("x")),
