--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/TargetClientTest.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/TargetClientTest.kt
@@ -153,6 +153,31 @@
             outcomes.filterNot { it == "200 ok" || it == "Lost" } shouldBe emptyList()
         }
 
+        listOf(
+            "127.0.0.1:0",
+            "127.0.0.1:65536",
+            "127.0.0.1:-1",
+            "127.0.0.1:1e3",
+            "127.0.0.1",
+            "",
+            ":1",
+            "a b:1",
+            "\u0000:1",
+            "\uD800:1",
+            "999.1.1.1:1",
+            "::1:1",
+            "[:1",
+        ).forEach { address ->
+            test("a call to the address '${address.take(20).filter { it in ' '..'~' }}' fails as not sent") {
+                withContext(vertx.dispatcher()) {
+                    val client = TargetClient(vertx, "Attempt-Id", clock::now)
+                    client
+                        .call(target(1).copy(address = address), request("r1"), 2.seconds)
+                        .fold(success = { "answer" }, failure = { it::class.simpleName }) shouldBe "NotSent"
+                }
+            }
+        }
+
         test("a call to an address where nothing listens fails as not sent") {
             withContext(vertx.dispatcher()) {
                 TargetClient(vertx, "Attempt-Id", clock::now).outcome(at = 1) shouldBe "NotSent"
