Refuse an address whose host is longer than any domain name

What operators saw: one entry with an address of 100,000 characters held up a whole process for seconds at each call to that target, as all calls, reports and checks of a process share one thread. Others took it for lost.

Cause: WireAddress took any host that is not empty, and the resolver checks a name label by label, in the calling thread, before the time limit of the connection counts.

Hosts are now at most 253 characters long. An entry with a longer one names no worker.

Shorter hosts that are none ("a b", "[", 999.1.1.1) fail at once as not sent.

--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/TargetClientTest.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/TargetClientTest.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.fold
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.comparables.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import io.vertx.core.MultiMap
 import io.vertx.core.Vertx
@@ -167,13 +168,21 @@
             "999.1.1.1:1",
             "::1:1",
             "[:1",
+            "${"a".repeat(100_000)}:1",
+            "${"a.".repeat(50_000)}:1",
         ).forEach { address ->
-            test("a call to the address '${address.take(20).filter { it in ' '..'~' }}' fails as not sent") {
+            test(
+                "a call to the address '${address.take(
+                    20,
+                ).filter { it in ' '..'~' }}' fails as not sent and does not block the others",
+            ) {
                 withContext(vertx.dispatcher()) {
                     val client = TargetClient(vertx, "Attempt-Id", clock::now)
+                    val begunAt = clock.now()
                     client
                         .call(target(1).copy(address = address), request("r1"), 2.seconds)
                         .fold(success = { "answer" }, failure = { it::class.simpleName }) shouldBe "NotSent"
+                    (clock.now() - begunAt) shouldBeLessThan 2.seconds
                 }
             }
         }
--- a/tanagerlane-wire/src/main/kotlin/tanagerlane/wire/WireAddress.kt
+++ b/tanagerlane-wire/src/main/kotlin/tanagerlane/wire/WireAddress.kt
@@ -12,9 +12,13 @@
         public fun parse(text: String): WireAddress? {
             val port = text.substringAfterLast(':', missingDelimiterValue = "").toIntOrNull() ?: return null
             val host = text.substringBeforeLast(':')
-            return if (host.isEmpty() || port !in 0..MAXIMUM_PORT) null else WireAddress(host, port)
+            val isValid = host.length in 1..MAXIMUM_HOST_CHARACTERS && port in 0..MAXIMUM_PORT
+            return if (isValid) WireAddress(host, port) else null
         }
 
         private const val MAXIMUM_PORT = 65_535
+
+        /** Length of the longest domain name; to look up a much longer one blocks the thread for seconds. */
+        private const val MAXIMUM_HOST_CHARACTERS = 253
     }
 }
