Join an answer to a broken stream only if its events follow on

What callers saw: a stream had begun and broke off, and the next target answered 200 with something else.

Cause: OnlineHandler.forwardStream took each answer with status 2xx for the rest of the stream. Whatever ended with a blank line was forwarded as an event, numbers were not compared, and an answer without events ended the stream.

Now the events of an answer that is joined to a begun stream must carry the numbers that follow the last one forwarded, and there must be at least one. An answer that does otherwise counts as a break: nothing of it is sent beyond the events that follow on, the request is resumed elsewhere while it has attempts left, and else the connection is closed without the end of the answer. Errors (4xx, 5xx, 421, Not-Run) were handled correctly before; the tests show that too. An answer that nothing was sent of before is passed on as it is.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineHandler.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineHandler.kt
@@ -17,6 +17,7 @@
 import tanagerlane.streams.AnswerLimits
 import tanagerlane.streams.EventAssembler
 import tanagerlane.streams.PartialEventTimer
+import tanagerlane.streams.ResumptionCheck
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
@@ -238,6 +239,7 @@
         answer: TargetAnswer,
     ): AttemptEnd? {
         val assembler = EventAssembler()
+        val resumption = if (request.isAnswerStarted) ResumptionCheck(request.lastEvent) else null
         val eventTimer = PartialEventTimer(silenceTimeout(request) * SILENCES_PER_EVENT)
         while (true) {
             val timeout = minOf(request.deadline - now(), silenceTimeout(request), eventTimer.timeLeft(now()))
@@ -249,6 +251,9 @@
             val bytes = piece.getOrNull() ?: break
             val events = assembler.accept(bytes.bytes)
             for (event in events) {
+                if (resumption?.accepts(event) == false) {
+                    return recordBroken(request, target, "event ${event.id} does not follow ${request.lastEvent}")
+                }
                 begin(request, answer)
                 request.lastEvent = event.id ?: request.lastEvent
                 request.exchange.write(Buffer.buffer(event.bytes.toByteArray()))
@@ -261,6 +266,9 @@
         if (assembler.isInsideEvent || !answer.hasLength) {
             return recordBroken(request, target, "stream ended inside an event or without a defined length")
         }
+        if (resumption?.hasContinued == false) {
+            return recordBroken(request, target, "resumed stream has no events")
+        }
         begin(request, answer)
         request.exchange.end()
         loadBalancer.succeeded(target.name)
