Join a run to the events of an item only if its events follow on

Cause: ItemRunner.collect added the events of each 2xx answer to those received before and didn't compare numbers. The end of an answer without events completed the item.

Now a resumed run must go on with the next number, as for streams of callers, and an answer without events completes nothing. Since a run that is resumed after the very last event has none to send, the newest event is dropped before the next run if it is not saved yet. Events without numbers can't be resumed after; the item starts anew.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ItemProgress.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ItemProgress.kt
@@ -31,6 +31,9 @@
     /** Data of all events, one event a line. */
     val text: String get() = received.joinToString("\n") { it.data }
 
+    /** Whether an event with a number or with data was received; text that is no event has neither. */
+    val hasContent: Boolean get() = received.any { it.number != null || it.data.isNotEmpty() }
+
     /** Number of events received. */
     val eventCount: Int get() = received.size
 
@@ -45,6 +48,19 @@
         return true
     }
 
+    /** Removes all events; without a number, no run can be resumed after them. */
+    fun clear() {
+        received.clear()
+        receivedBytes = 0
+    }
+
+    /** Removes the newest event, unless it is saved, so that the next run has an event to receive. */
+    fun dropNewest() {
+        if (received.size > savedEventCount) {
+            receivedBytes -= sizeOf(received.removeLast().data)
+        }
+    }
+
     /** Adds the [events] that an earlier process saved, unless events were already received. */
     fun restore(events: List<SavedEvent>) {
         if (received.isEmpty()) {
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ItemRunner.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ItemRunner.kt
@@ -11,6 +11,7 @@
 import tanagerlane.streams.AnswerLimits
 import tanagerlane.streams.EventAssembler
 import tanagerlane.streams.PartialEventTimer
+import tanagerlane.streams.ResumptionCheck
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
@@ -84,6 +85,10 @@
         progress: ItemProgress,
     ): ItemEnding {
         val assembler = EventAssembler()
+        if (progress.lastEvent == null) {
+            progress.clear()
+        }
+        val resumption = if (progress.eventCount > 0) ResumptionCheck(progress.lastEvent) else null
         val partialEventTimer = PartialEventTimer(EVENT_TIMEOUT)
         while (true) {
             val timeout = minOf(SILENCE_TIMEOUT, partialEventTimer.timeLeft(now()))
@@ -96,17 +101,28 @@
             }
             val bytes = piece.getOrNull() ?: break
             val events = assembler.accept(bytes.bytes)
-            if (!events.all(progress::add)) {
-                logger.info("item answer too long item={} events={}", progress.item.id, progress.eventCount)
-                return ItemEnding.FAILED
+            for (event in events) {
+                if (resumption?.accepts(event) == false) {
+                    return interrupted(progress, "event ${event.id} does not follow ${progress.lastEvent}")
+                }
+                if (!progress.add(event)) {
+                    logger.info("item answer too long item={} events={}", progress.item.id, progress.eventCount)
+                    return ItemEnding.FAILED
+                }
             }
             if (assembler.isOverlong) {
                 return interrupted(progress, "event exceeds ${AnswerLimits.MAXIMUM_EVENT_BYTES} bytes")
             }
             partialEventTimer.update(assembler.isInsideEvent, events.isNotEmpty(), now())
         }
-        val isComplete = answer.hasLength && !assembler.isInsideEvent
-        return if (isComplete) ItemEnding.WHOLE else ItemEnding.BROKEN
+        if (assembler.isInsideEvent || !answer.hasLength) {
+            return interrupted(progress, "stream ended inside an event or without a defined length")
+        }
+        if (!progress.hasContent || resumption?.hasContinued == false) {
+            progress.dropNewest()
+            return interrupted(progress, "answer has no events")
+        }
+        return ItemEnding.WHOLE
     }
 
     private fun interrupted(
