Complete a stream without a length when its connection is closed in order

What callers saw: a stream that came with neither a length nor chunks never completed. It was resumed until its attempts were used up, or cut after its last event; an item went through two more runs.

Cause: forwardStream and ItemRunner.collect took each end of such a body for a loss, since TargetAnswer.hasLength said that the two can't be told apart. They can: a reset raises an exception on the connection before its end, on which TargetClient.onBodyEnd closes the body with a cause, and an orderly close does not.

Now an orderly close between events completes the stream; one inside an event and a reset anywhere break it off. Bodies of plain calls were handled this way before.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ItemRunner.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ItemRunner.kt
@@ -115,8 +115,8 @@
             }
             partialEventTimer.update(assembler.isInsideEvent, events.isNotEmpty(), now())
         }
-        if (assembler.isInsideEvent || !answer.hasLength) {
-            return interrupted(progress, "stream ended inside an event or without a defined length")
+        if (assembler.isInsideEvent) {
+            return interrupted(progress, "stream ended inside an event")
         }
         if (!progress.hasContent || resumption?.hasContinued == false) {
             progress.dropNewest()
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineHandler.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineHandler.kt
@@ -263,8 +263,8 @@
             }
             eventTimer.update(assembler.isInsideEvent, events.isNotEmpty(), now())
         }
-        if (assembler.isInsideEvent || !answer.hasLength) {
-            return recordBroken(request, target, "stream ended inside an event or without a defined length")
+        if (assembler.isInsideEvent) {
+            return recordBroken(request, target, "stream ended inside an event")
         }
         if (resumption?.hasContinued == false) {
             return recordBroken(request, target, "resumed stream has no events")
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetAnswer.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetAnswer.kt
@@ -6,13 +6,12 @@
 /**
  * The answer of a target, whose body may still be arriving.
  *
- * @property hasLength whether the end of the body can be distinguished from a loss of the connection
- * @property pieces pieces of the body; closed with a cause if the body breaks off
+ * @property pieces pieces of the body; closed with a cause if the body breaks off. A body without a length or chunks ends
+ *   with its connection, and breaks off if the connection is reset
  */
 internal class TargetAnswer(
     val status: Int,
     val headers: MultiMap,
-    val hasLength: Boolean,
     val pieces: AnswerPieces,
     private val release: () -> Unit,
 ) {
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetClient.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetClient.kt
@@ -181,7 +181,7 @@
             return Err(CallFault.Lost("final answer has an interim status: ${response.statusCode()}"))
         }
         return Ok(
-            TargetAnswer(response.statusCode(), response.headers(), hasLength(response), body) {
+            TargetAnswer(response.statusCode(), response.headers(), body) {
                 if (!isComplete) connection.close()
             },
         )
