Forward a target's error if no time is left for another attempt

What callers saw: nothing at all.

Cause: forwardWhole withholds an error after which another attempt is possible, NextStep.after finds that there is no time for one and returns ForwardError, and serve handled GiveUp only. The withheld answer was gone by then.

Now the request keeps the error, and serve handles each step: it forwards the error, or closes the connection where a stream has begun.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineHandler.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineHandler.kt
@@ -38,12 +38,21 @@
 ) {
     /** Serves [request] until it is answered, refused or aborted. */
     suspend fun serve(request: OnlineRequest) {
-        var step: NextStep = NextStep.TryElsewhere
-        while (step == NextStep.TryElsewhere) {
-            step = attempt(request) ?: return
+        while (true) {
+            when (val step = attempt(request) ?: return) {
+                NextStep.TryElsewhere -> continue
+                NextStep.ForwardError -> return forwardError(request)
+                is NextStep.GiveUp -> return refuseOrAbort(request, CallerRefusal(step.reason, step.runState))
+            }
         }
-        if (step is NextStep.GiveUp) {
-            refuseOrAbort(request, CallerRefusal(step.reason, step.runState))
+    }
+
+    private fun forwardError(request: OnlineRequest) {
+        val error = request.error
+        if (error == null || request.isAnswerStarted) {
+            refuseOrAbort(request, CallerRefusal(RefusalReason.DEADLINE_EXCEEDED, RunState.UNKNOWN))
+        } else {
+            answer(request, error)
         }
     }
 
@@ -194,22 +203,31 @@
         } else {
             loadBalancer.succeeded(target.name)
         }
+        val wholeAnswer = WholeAnswer(target.name, answer.status, answer.headers.endToEndHeaders(), content)
         if (isFailure && request.route.isRepeatable && request.possibleRuns + 1 < request.route.attempts) {
+            request.error = wholeAnswer
             return AttemptEnd.FAILED
         }
         if (request.isAnswerStarted) {
             return AttemptEnd.LOST
         }
-        request.exchange.answer(answer.status, answer.headers.endToEndHeaders(), content)
+        answer(request, wholeAnswer)
+        return null
+    }
+
+    private fun answer(
+        request: OnlineRequest,
+        answer: WholeAnswer,
+    ) {
+        request.exchange.answer(answer.status, answer.headers, answer.content)
         metrics.answered(request.route.kind, now() - request.exchange.arrivedAt)
         logger.info(
             "request answered request={} target={} status={} age={}",
             request.id,
-            target.name,
+            answer.target,
             answer.status,
             now() - request.exchange.arrivedAt,
         )
-        return null
     }
 
     /** Returns the complete body, or null if it broke off or exceeds [AnswerLimits.MAXIMUM_ANSWER_BYTES]. */
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineRequest.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineRequest.kt
@@ -26,6 +26,9 @@
     /** Number of targets that certainly did not run it. */
     var notRunAttempts = 0
 
+    /** Last answer with an error after which another attempt was possible, or null. */
+    var error: WholeAnswer? = null
+
     /** Number of the last event that was forwarded, or that the caller already had, or null. */
     var lastEvent: Long? = exchange.resumeAfter
 
