--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ItemRunner.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ItemRunner.kt
@@ -12,6 +12,7 @@
 import tanagerlane.streams.AnswerLimits
 import tanagerlane.streams.EventAssembler
 import tanagerlane.streams.PartialEventTimer
+import tanagerlane.streams.ResumptionCheck
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
@@ -98,6 +99,10 @@
         target: DirectTarget,
     ): ItemEnding {
         val assembler = EventAssembler()
+        if (progress.lastEvent == null) {
+            progress.clear()
+        }
+        val resumption = if (progress.eventCount > 0) ResumptionCheck(progress.lastEvent) else null
         var hasEvents = false
         val partialEventTimer = PartialEventTimer(EVENT_TIMEOUT)
         while (true) {
@@ -118,17 +123,28 @@
                 hasEvents = true
                 onAnswered(progress.item)
             }
-            if (!events.all(progress::add)) {
-                logger.info("item answer too long item={} events={}", progress.item.id, progress.eventCount)
-                return ItemEnding.FAILED
+            for (event in events) {
+                if (resumption?.accepts(event) == false) {
+                    return interrupted(progress, "event ${event.id} does not follow ${progress.lastEvent}")
+                }
+                if (!progress.add(event)) {
+                    logger.info("item answer too long item={} events={}", progress.item.id, progress.eventCount)
+                    return ItemEnding.FAILED
+                }
             }
             if (assembler.isOverlong) {
                 return interrupted(progress, "event exceeds ${AnswerLimits.MAXIMUM_EVENT_BYTES} bytes")
             }
             partialEventTimer.update(assembler.isInsideEvent, events.isNotEmpty(), now())
         }
-        val isComplete = answer.hasLength && !assembler.isInsideEvent
-        return if (isComplete) ItemEnding.WHOLE else ItemEnding.BROKEN
+        if (assembler.isInsideEvent) {
+            return interrupted(progress, "stream ended inside an event")
+        }
+        if (!progress.hasContent || resumption?.hasContinued == false) {
+            progress.dropNewest()
+            return interrupted(progress, "answer has no events")
+        }
+        return ItemEnding.WHOLE
     }
 
     private fun interrupted(
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineHandler.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineHandler.kt
@@ -17,6 +17,7 @@
 import tanagerlane.streams.AnswerLimits
 import tanagerlane.streams.EventAssembler
 import tanagerlane.streams.PartialEventTimer
+import tanagerlane.streams.ResumptionCheck
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
@@ -38,12 +39,21 @@
 ) {
     /** Serves [request] until it is answered, refused or aborted. */
     suspend fun serve(request: OnlineRequest) {
-        var step: NextStep = NextStep.TryElsewhere
-        while (step == NextStep.TryElsewhere) {
-            step = attempt(request) ?: return
+        while (true) {
+            when (val step = attempt(request) ?: return) {
+                NextStep.TryElsewhere -> continue
+                NextStep.ForwardError -> return forwardError(request)
+                is NextStep.GiveUp -> return refuseOrAbort(request, CallerRefusal(step.reason, step.runState))
+            }
         }
-        if (step is NextStep.GiveUp) {
-            refuseOrAbort(request, CallerRefusal(step.reason, step.runState))
+    }
+
+    private fun forwardError(request: OnlineRequest) {
+        val error = request.error
+        if (error == null || request.isAnswerStarted) {
+            refuseOrAbort(request, CallerRefusal(RefusalReason.DEADLINE_EXCEEDED, RunState.UNKNOWN))
+        } else {
+            answer(request, error)
         }
     }
 
@@ -201,22 +211,31 @@
             loadBalancer.succeeded(target.name)
             promptGuard.answered(request.sharedParts)
         }
+        val wholeAnswer = WholeAnswer(target.name, answer.status, answer.headers.endToEndHeaders(), content)
         if (isFailure && request.route.isRepeatable && request.possibleRuns + 1 < request.route.attempts) {
+            request.error = wholeAnswer
             return AttemptEnd.FAILED
         }
         if (request.isAnswerStarted) {
             return AttemptEnd.LOST
         }
-        request.exchange.answer(answer.status, answer.headers.endToEndHeaders(), content)
+        answer(request, wholeAnswer)
+        return null
+    }
+
+    private fun answer(
+        request: OnlineRequest,
+        answer: WholeAnswer,
+    ) {
+        request.exchange.answer(answer.status, answer.headers, answer.content)
         metrics.answered(request.route.kind, now() - request.exchange.arrivedAt)
         logger.info(
             "request answered request={} target={} status={} age={}",
             request.id,
-            target.name,
+            answer.target,
             answer.status,
             now() - request.exchange.arrivedAt,
         )
-        return null
     }
 
     /** Returns the complete body, or null if it broke off or exceeds [AnswerLimits.MAXIMUM_ANSWER_BYTES]. */
@@ -246,6 +265,7 @@
         answer: TargetAnswer,
     ): AttemptEnd? {
         val assembler = EventAssembler()
+        val resumption = if (request.isAnswerStarted) ResumptionCheck(request.lastEvent) else null
         val eventTimer = PartialEventTimer(silenceTimeout(request) * SILENCES_PER_EVENT)
         var hasEvents = false
         while (true) {
@@ -267,6 +287,9 @@
                 promptGuard.answered(request.sharedParts)
             }
             for (event in events) {
+                if (resumption?.accepts(event) == false) {
+                    return recordBroken(request, target, "event ${event.id} does not follow ${request.lastEvent}")
+                }
                 begin(request, answer)
                 request.lastEvent = event.id ?: request.lastEvent
                 request.exchange.write(Buffer.buffer(event.bytes.toByteArray()))
@@ -276,8 +299,11 @@
             }
             eventTimer.update(assembler.isInsideEvent, events.isNotEmpty(), now())
         }
-        if (assembler.isInsideEvent || !answer.hasLength) {
-            return recordBroken(request, target, "stream ended inside an event or without a defined length")
+        if (assembler.isInsideEvent) {
+            return recordBroken(request, target, "stream ended inside an event")
+        }
+        if (resumption?.hasContinued == false) {
+            return recordBroken(request, target, "resumed stream has no events")
         }
         begin(request, answer)
         request.exchange.end()
