Look for a quarantined part behind one whose term is over

What callers would see: requests with a quarantined part reach targets and crash them, if an earlier part of their prompts was quarantined before.

Cause: findQuarantined took the first part with a verdict and only then asked whether its term was over.

Evidence, before the change: "a part whose term is over does not hide another part of the prompt that is quarantined: Expected deadly but actual was null". Each part is now asked by itself.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/quarantine/PromptQuarantine.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/quarantine/PromptQuarantine.kt
@@ -83,10 +83,7 @@
             if (quarantined.isEmpty()) {
                 null
             } else {
-                parts
-                    .firstNotNullOfOrNull {
-                        quarantined[it]
-                    }?.takeIf { it.until > now }
+                parts.firstNotNullOfOrNull { part -> quarantined[part]?.takeIf { it.until > now } }
             }
         }
 
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/quarantine/PromptQuarantineTest.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/quarantine/PromptQuarantineTest.kt
@@ -233,6 +233,15 @@
             rest.getValue(HostName("d")).findQuarantined(listOf(deadly), start + 4.seconds)?.part shouldBe deadly
         }
 
+        test("a part whose term is over does not hide another part of the prompt that is quarantined") {
+            val quarantine = quarantine()
+            quarantine.apply(crash(0.seconds, "t1", "first"))
+            quarantine.apply(crash(1.seconds, "t2", "first"))
+            quarantine.apply(crash(10.seconds, "t3", "deadly"))
+            quarantine.apply(crash(11.seconds, "t4", "deadly"))
+            quarantine.findQuarantined(listOf(first, deadly), start + 20.seconds)?.part shouldBe deadly
+        }
+
         test("evidence is bounded, however many targets crash") {
             val quarantine = quarantine()
             repeat(10_000) { number ->
