Let a restarted process learn again what it had observed itself

What callers would see: a process that had observed the crashes and then restarts goes on sending requests with the part to targets.

Cause: merge refused all unknown evidence of its own host, also that of an earlier incarnation, which only the others still hold.

Evidence, before the change: "a process that restarts learns again of the crashes that it had observed itself: Expected deadly but actual was null". Only evidence of the own incarnation is now refused as forgotten.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/quarantine/PromptQuarantine.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/quarantine/PromptQuarantine.kt
@@ -147,7 +147,8 @@
             } else {
                 known.request.copy(parts = known.request.parts.filter { it in message.parts })
             }
-        if (known != null || request.id.observer != own) {
+        val isOwn = id.observer == own && id.incarnation == incarnation
+        if (known != null || !isOwn) {
             add(request, nextReportAt = known?.nextReportAt ?: (now + REPEAT_PAUSE))
         }
     }
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/quarantine/PromptQuarantineTest.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/quarantine/PromptQuarantineTest.kt
@@ -242,6 +242,17 @@
             quarantine.findQuarantined(listOf(first, deadly), start + 20.seconds)?.part shouldBe deadly
         }
 
+        test("a process that restarts learns again of the crashes that it had observed itself") {
+            val before = quarantine("a")
+            val other = quarantine("b")
+            before.lost(TargetName("t1"), listOf(deadly), hasBegun = true, start)
+            before.lost(TargetName("t2"), listOf(deadly), hasBegun = true, start + 1.seconds)
+            before.reports(setOf(HostName("b")), start + 1.seconds).forEach { other.received(it, start + 1.seconds) }
+            val restarted = PromptQuarantine(HostName("a"), Incarnation(2))
+            other.reports(setOf(HostName("a")), start + 3.seconds).forEach { restarted.received(it, start + 3.seconds) }
+            restarted.findQuarantined(listOf(deadly), start + 3.seconds)?.part shouldBe deadly
+        }
+
         test("evidence is bounded, however many targets crash") {
             val quarantine = quarantine()
             repeat(10_000) { number ->
