Keep the evidence of verdicts when a domain crashes

Cause: the evidence that had come first was evicted first, whatever rested on it, so processes also kept different pieces.

Evidence, before the change: "a verdict outlasts the crash of a whole domain: Expected deadly but actual was null". Evidence without a verdict now goes first, the oldest crash first, so that what arrives again is not kept in turn.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/quarantine/PromptQuarantine.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/quarantine/PromptQuarantine.kt
@@ -178,11 +178,17 @@
     private fun update(now: Instant) {
         evidence.values.removeIf { known -> isForgotten(known.request, now) }
         while (evidence.size > settings.maximumEvidence) {
-            evidence.remove(evidence.keys.first())
+            evidence.remove(leastUseful().request.id)
         }
         quarantined = analysis.explain(evidence.values.map { it.request }).associateBy { it.part }
     }
 
+    /** Returns the oldest evidence, if possible one on which no verdict rests. */
+    private fun leastUseful(): KnownEvidence =
+        evidence.values.minWith(
+            compareBy({ known -> known.request.parts.any { it in quarantined } }, { it.request.at }),
+        )
+
     /** Evidence without parts is kept for a while, since other processes repeat it with the parts that they know. */
     private fun isForgotten(
         request: LostRequest,
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/quarantine/QuarantineSettings.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/quarantine/QuarantineSettings.kt
@@ -19,7 +19,8 @@
  * @property termFactor factor by which the term grows with each further crash
  * @property maximumTerm upper limit of the term
  * @property evidenceLifetime time for which evidence counts after a crash, or after the term that follows it
- * @property maximumEvidence number of lost requests that are remembered; the oldest are forgotten first
+ * @property maximumEvidence number of lost requests that are remembered; the oldest on which no verdict rests are
+ *   forgotten first
  */
 public data class QuarantineSettings(
     val crashesWhileBeginning: Int = 2,
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/quarantine/PromptQuarantineTest.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/quarantine/PromptQuarantineTest.kt
@@ -253,6 +253,14 @@
             restarted.findQuarantined(listOf(deadly), start + 3.seconds)?.part shouldBe deadly
         }
 
+        test("a verdict outlasts the crash of a whole domain") {
+            val quarantine = quarantine()
+            quarantine.apply(crash(0.seconds, "t1", "deadly"))
+            quarantine.apply(crash(1.seconds, "t2", "deadly"))
+            repeat(600) { quarantine.apply(crash(2.seconds, "domain-$it", "own$it")) }
+            quarantine.findQuarantined(listOf(deadly), start + 3.seconds)?.part shouldBe deadly
+        }
+
         test("evidence is bounded, however many targets crash") {
             val quarantine = quarantine()
             repeat(10_000) { number ->
