Count an answer against evidence that arrives after it

What callers would see: sound requests refused for 15 s after the crash of two targets at once, though answers with their part were written between the crash and the report of it. Once the part is quarantined no further answer can correct that.

Cause: an answer cleared only evidence that was known when it came. Evidence follows the crash by a connection attempt, and reaches the other processes by datagram.

Evidence, before the change: "an answer counts against evidence that arrives after it: expected:<[<null>, <null>]> but was:<[first, first]>". Each process now remembers its latest answer for up to 2,048 parts and applies them to evidence that arrives; if one counts, it is reported.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/quarantine/PromptQuarantine.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/quarantine/PromptQuarantine.kt
@@ -29,6 +29,13 @@
     private val analysis = CrashAnalysis(settings)
     private val evidence = LinkedHashMap<EvidenceId, KnownEvidence>()
     private val answered = HashMap<PromptPart, Instant>()
+
+    /** Latest answers that this process has seen, by part; evidence of earlier crashes may arrive after them. */
+    private val latestAnswers =
+        object : LinkedHashMap<PromptPart, Instant>() {
+            override fun removeEldestEntry(eldest: Map.Entry<PromptPart, Instant>): Boolean =
+                size > settings.maximumAnswers
+        }
     private var quarantined: Map<PromptPart, QuarantinedPart> = emptyMap()
     private var evidenceCount = 0L
 
@@ -66,6 +73,10 @@
         now: Instant,
     ) {
         synchronized(lock) {
+            for (part in parts.take(MAXIMUM_PARTS)) {
+                latestAnswers.remove(part)
+                latestAnswers[part] = now
+            }
             val cleared = parts.filter { clear(it, now) }
             if (cleared.isNotEmpty()) {
                 cleared.forEach { answered[it] = now }
@@ -116,8 +127,8 @@
             val due = evidence.values.filter { it.nextReportAt <= now }
             due.forEach { it.nextReportAt = now + reportPause(it.request, now) }
             val reported = due.filter { it.request.isFreshOwn(now) || it.request.isRepeatedHere(reachable) }
-            answered.values.removeIf { now - it > ANSWER_REPORT_TIME }
             val answers = answered.map { (part, at) -> AnsweredPart(part, now - at) }
+            answered.values.removeIf { now - it > ANSWER_REPORT_TIME }
             val chunks = reported.map { messageOf(it.request, now) }.chunked(EVIDENCE_PER_REPORT)
             val answerChunks = answers.chunked(ANSWERS_PER_REPORT)
             List(maxOf(chunks.size, answerChunks.size)) { index ->
@@ -158,6 +169,12 @@
         nextReportAt: Instant,
     ) {
         evidence[request.id] = KnownEvidence(request, nextReportAt)
+        for (part in request.parts) {
+            val answeredAt = latestAnswers[part]
+            if (answeredAt != null && clear(part, answeredAt)) {
+                answered[part] = answeredAt
+            }
+        }
     }
 
     /** Removes [part] from the evidence of crashes before [answeredAt]; returns whether there was any. */
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/quarantine/QuarantineSettings.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/quarantine/QuarantineSettings.kt
@@ -21,6 +21,7 @@
  * @property evidenceLifetime time for which evidence counts after a crash, or after the term that follows it
  * @property maximumEvidence number of lost requests that are remembered; the oldest on which no verdict rests are
  *   forgotten first
+ * @property maximumAnswers number of parts for which the time of the latest answer is remembered
  */
 public data class QuarantineSettings(
     val crashesWhileBeginning: Int = 2,
@@ -32,4 +33,5 @@
     val maximumTerm: Duration = 10.minutes,
     val evidenceLifetime: Duration = 2.minutes,
     val maximumEvidence: Int = 256,
+    val maximumAnswers: Int = 2048,
 )
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/quarantine/PromptQuarantineTest.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/quarantine/PromptQuarantineTest.kt
@@ -261,6 +261,17 @@
             quarantine.findQuarantined(listOf(deadly), start + 3.seconds)?.part shouldBe deadly
         }
 
+        test("an answer counts against evidence that arrives after it") {
+            val (observer, witness) = listOf(quarantine("a"), quarantine("b"))
+            observer.lost(TargetName("t1"), listOf(first), hasBegun = true, start)
+            observer.lost(TargetName("t2"), listOf(first), hasBegun = true, start + 10.milliseconds)
+            witness.answered(listOf(first), start + 50.milliseconds)
+            val now = start + 100.milliseconds
+            observer.reports(setOf(HostName("b")), now).forEach { witness.received(it, now) }
+            witness.reports(setOf(HostName("a")), now).forEach { observer.received(it, now) }
+            listOf(observer, witness).map { it.findQuarantined(listOf(first), now)?.part } shouldBe listOf(null, null)
+        }
+
         test("evidence is bounded, however many targets crash") {
             val quarantine = quarantine()
             repeat(10_000) { number ->
