Tell processes that start late of verdicts with long terms

What callers would see: after a restart, or at a process that starts late, requests with a part whose term is longer than two minutes are sent to targets, while all other processes refuse them.

Cause: evidence that was older than its lifetime was forgotten on arrival, before it could make up the verdict that keeps it at the others.

Evidence, before the change: "a process that starts late learns of a verdict whose term is longer than evidence lasts: Expected deadly but actual was null". What arrives is now kept for 3 s, until the rest of it has come, but not reported on, so that processes cannot keep it alive among themselves (a test shows that it ends).

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/quarantine/PromptQuarantine.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/quarantine/PromptQuarantine.kt
@@ -126,7 +126,10 @@
             update(now)
             val due = evidence.values.filter { it.nextReportAt <= now }
             due.forEach { it.nextReportAt = now + reportPause(it.request, now) }
-            val reported = due.filter { it.request.isFreshOwn(now) || it.request.isRepeatedHere(reachable) }
+            val reported =
+                due.filter {
+                    it.request.isFreshOwn(now) || (counts(it.request, now) && it.request.isRepeatedHere(reachable))
+                }
             val answers = answered.map { (part, at) -> AnsweredPart(part, now - at) }
             answered.values.removeIf { now - it > ANSWER_REPORT_TIME }
             val chunks = reported.map { messageOf(it.request, now) }.chunked(EVIDENCE_PER_REPORT)
@@ -160,15 +163,20 @@
             }
         val isOwn = id.observer == own && id.incarnation == incarnation
         if (known != null || !isOwn) {
-            add(request, nextReportAt = known?.nextReportAt ?: (now + REPEAT_PAUSE))
+            add(
+                request,
+                nextReportAt = known?.nextReportAt ?: (now + REPEAT_PAUSE),
+                keptUntil = known?.keptUntil ?: (now + LEARNING_TIME),
+            )
         }
     }
 
     private fun add(
         request: LostRequest,
         nextReportAt: Instant,
+        keptUntil: Instant = request.at,
     ) {
-        evidence[request.id] = KnownEvidence(request, nextReportAt)
+        evidence[request.id] = KnownEvidence(request, nextReportAt, keptUntil)
         for (part in request.parts) {
             val answeredAt = latestAnswers[part]
             if (answeredAt != null && clear(part, answeredAt)) {
@@ -193,7 +201,7 @@
     }
 
     private fun update(now: Instant) {
-        evidence.values.removeIf { known -> isForgotten(known.request, now) }
+        evidence.values.removeIf { known -> known.keptUntil < now && !counts(known.request, now) }
         while (evidence.size > settings.maximumEvidence) {
             evidence.remove(leastUseful().request.id)
         }
@@ -207,13 +215,13 @@
         )
 
     /** Evidence without parts is kept for a while, since other processes repeat it with the parts that they know. */
-    private fun isForgotten(
+    private fun counts(
         request: LostRequest,
         now: Instant,
     ): Boolean {
         val terms = request.parts.mapNotNull { quarantined[it]?.until }
         val countsUntil = (terms + request.at).max() + settings.evidenceLifetime
-        return countsUntil < now
+        return countsUntil >= now
     }
 
     private fun messageOf(
@@ -232,6 +240,7 @@
     private class KnownEvidence(
         var request: LostRequest,
         var nextReportAt: Instant,
+        val keptUntil: Instant,
     )
 
     private companion object {
@@ -250,6 +259,9 @@
         val OWN_REPORT_PAUSE = 100.milliseconds
         val REPEAT_PAUSE = 1.seconds
 
+        /** Time for which old evidence is kept until the rest of what makes up a verdict has been received. */
+        val LEARNING_TIME = 3.seconds
+
         /** Time for which it is reported that an answer was written with a suspected part. */
         val ANSWER_REPORT_TIME = 1.seconds
     }
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/quarantine/PromptQuarantineTest.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/quarantine/PromptQuarantineTest.kt
@@ -272,6 +272,22 @@
             listOf(observer, witness).map { it.findQuarantined(listOf(first), now)?.part } shouldBe listOf(null, null)
         }
 
+        test("a process that starts late learns of a verdict whose term is longer than evidence lasts") {
+            val (observer, late) = listOf(quarantine("a"), quarantine("b"))
+            listOf(0, 1, 17, 78).forEach { observer.apply(crash(it.seconds, "t$it", "deadly")) }
+            val now = start + 210.seconds
+            observer.findQuarantined(listOf(deadly), now)?.part shouldBe deadly
+            observer.reports(setOf(HostName("b")), now).forEach { late.received(it, now) }
+            late.findQuarantined(listOf(deadly), now)?.part shouldBe deadly
+        }
+
+        test("processes do not keep evidence alive by reporting it to each other") {
+            val quarantines = listOf("a", "b", "c").map(::HostName).associateWith { quarantine(it.text) }
+            quarantines.values.first().lost(TargetName("t1"), listOf(deadly), hasBegun = true, start)
+            repeat(1300) { exchange(quarantines, start + 100.milliseconds * it) }
+            quarantines.values.map { it.isEmpty } shouldBe List(3) { true }
+        }
+
         test("evidence is bounded, however many targets crash") {
             val quarantine = quarantine()
             repeat(10_000) { number ->
