--- a/tanagerlane-core/src/main/kotlin/tanagerlane/quarantine/CrashAnalysis.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/quarantine/CrashAnalysis.kt
@@ -14,8 +14,13 @@
      * One request is at fault for a crash. If parts explain equally many crashes, the last one in the prompts is chosen,
      * as the first ones are shared with more other requests. Once a part is found, its crashes no longer count against
      * the parts that came with it.
+     *
+     * @param wasAnswered whether an answer was written with a part before, so that it takes more crashes to suspect it
      */
-    fun explain(lost: Collection<LostRequest>): List<QuarantinedPart> {
+    fun explain(
+        lost: Collection<LostRequest>,
+        wasAnswered: (PromptPart) -> Boolean,
+    ): List<QuarantinedPart> {
         var unexplained = crashesOf(lost)
         val found = ArrayList<QuarantinedPart>()
         while (true) {
@@ -23,7 +28,7 @@
                 unexplained
                     .flatMapTo(LinkedHashSet()) { it.suspects.keys }
                     .map { suspectOf(it, unexplained) }
-                    .filter(::isGuilty)
+                    .filter { isGuilty(it, wasAnswered(it.part)) }
                     .maxWithOrNull(compareBy({ it.crashes.size }, { it.position }, { it.part.text }))
                     ?: return found
             found += QuarantinedPart(suspect.part, suspect.crashes.size, until = endOfTerm(suspect))
@@ -70,9 +75,12 @@
         return Suspect(part, own, position = own.maxOf { it.suspects.getValue(part) })
     }
 
-    private fun isGuilty(suspect: Suspect): Boolean {
+    private fun isGuilty(
+        suspect: Suspect,
+        wasAnswered: Boolean,
+    ): Boolean {
         val span: Duration = suspect.crashes.maxOf { it.at } - suspect.crashes.minOf { it.at }
-        return suspect.crashes.count { it.hasBegun } >= settings.crashesWhileBeginning ||
+        return (!wasAnswered && suspect.crashes.count { it.hasBegun } >= settings.crashesWhileBeginning) ||
             (suspect.crashes.size >= settings.crashesWhileWaiting && span >= settings.minimumSpan)
     }
 
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/quarantine/PromptQuarantine.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/quarantine/PromptQuarantine.kt
@@ -205,7 +205,8 @@
         while (evidence.size > settings.maximumEvidence) {
             evidence.remove(leastUseful().request.id)
         }
-        quarantined = analysis.explain(evidence.values.map { it.request }).associateBy { it.part }
+        quarantined =
+            analysis.explain(evidence.values.map { it.request }) { it in latestAnswers }.associateBy { it.part }
     }
 
     /** Returns the oldest evidence, if possible one on which no verdict rests. */
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/quarantine/QuarantineSettings.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/quarantine/QuarantineSettings.kt
@@ -9,10 +9,10 @@
  * Settings of a [PromptQuarantine].
  *
  * @property crashesWhileBeginning number of crashes after which a part is quarantined if each time the target had begun
- *   to answer a request with it
+ *   to answer a request with it, and no answer with it is known
  * @property crashesWhileWaiting number of crashes after which a part is quarantined if requests with it were only
- *   waiting at the targets
- * @property minimumSpan time from the first to the last of the crashes while waiting; targets that fail together by
+ *   waiting at the targets, or an answer with it is known from before
+ * @property minimumSpan time from the first to the last of these crashes; targets that fail together by
  *   another cause crash within a shorter time
  * @property crashWindow time within which requests lost at one target count as lost in the same crash
  * @property initialTerm time for which a part is quarantined at first
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/quarantine/PromptQuarantineTest.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/quarantine/PromptQuarantineTest.kt
@@ -88,9 +88,29 @@
                     crash(1.seconds, "t1", "deadly"),
                     answer(1.seconds, "deadly"),
                     crash(1500.milliseconds, "t2", "deadly"),
+                    crash(1900.milliseconds, "t3", "deadly"),
                 ),
                 setOf(deadly),
             ),
+            Case(
+                "two crashes do not suffice against a part with which an answer was written before",
+                listOf(
+                    answer(0.seconds, "deadly"),
+                    crash(1.seconds, "t1", "deadly"),
+                    crash(1500.milliseconds, "t2", "deadly"),
+                ),
+                emptySet(),
+            ),
+            Case(
+                "targets that fail together prove nothing about a part with which an answer was written before",
+                listOf(
+                    answer(0.seconds, "deadly"),
+                    crash(1.seconds, "t1", "deadly"),
+                    crash(1010.milliseconds, "t2", "deadly"),
+                    crash(1015.milliseconds, "t3", "deadly"),
+                ),
+                emptySet(),
+            ),
             Case(
                 "of two parts that always come together, the later one is quarantined",
                 listOf(crash(0.seconds, "t1", "first", "deadly"), crash(1.seconds, "t2", "first", "deadly")),
