Let targets crash in the test of crashes for other reasons

The test set one of four targets to crash, and the request mostly went to another, so that no crash was needed for it to pass. All targets now crash until the request has been lost, and the number of crashes is asserted.

--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/CrashingPromptTest.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/CrashingPromptTest.kt
@@ -80,9 +80,10 @@
             val targets = targets()
             val ports = startEntries(targets)
             repeat(3) { round ->
-                targets[round].crashesOn = "first"
-                send(ports[0], "e$round", "first:100,own$round:10")
-                targets[round].crashesOn = null
+                targets.forEach { it.crashesOn = "first" }
+                send(ports[0], "e$round", "first:100,own$round:10", path = "/once/1")
+                targets.forEach { it.crashesOn = null }
+                targets.sumOf { it.crashes } shouldBe round + 1
                 delay(300.milliseconds)
                 send(ports[1], "f$round", "first:100,own:10").statusCode() shouldBe 200
             }
