Count whole answers that break off as evidence against a prompt

What callers would see: requests for answers that are no streams crash one target after the other for as long as they come, if the head of the answer arrives before the crash.

Cause: only forwardStream reported a loss after the head; forwardWhole discarded it.

Evidence, before the change: CrashingPromptTest with the route of calls, "24 should be <= 3". It passes now. A body of which bytes had arrived is no evidence, as an event is none for streams.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineHandler.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineHandler.kt
@@ -189,7 +189,7 @@
         target: DirectTarget,
         answer: TargetAnswer,
     ): AttemptEnd? {
-        val content = withTimeoutOrNull(request.deadline - now()) { contentOf(answer.pieces) }
+        val content = withTimeoutOrNull(request.deadline - now()) { contentOf(request, target, answer.pieces) }
         if (content == null) {
             loadBalancer.failed(target.name, now())
             return AttemptEnd.LOST
@@ -220,11 +220,18 @@
     }
 
     /** Returns the complete body, or null if it broke off or exceeds [AnswerLimits.MAXIMUM_ANSWER_BYTES]. */
-    private suspend fun contentOf(pieces: AnswerPieces): Buffer? {
+    private suspend fun contentOf(
+        request: OnlineRequest,
+        target: DirectTarget,
+        pieces: AnswerPieces,
+    ): Buffer? {
         val content = Buffer.buffer()
         while (true) {
             val piece = pieces.receiveCatching()
             piece.exceptionOrNull()?.let {
+                if (content.length() == 0) {
+                    promptGuard.lost(target, request.id, request.sharedParts, hasBegun = true)
+                }
                 logger.info("body broke off bytes={} cause={}", content.length(), it.toString())
                 return null
             }
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/CrashingPromptTest.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/CrashingPromptTest.kt
@@ -52,17 +52,19 @@
 
         fun targets() = List(4) { FakeTarget(vertx, "t$it", restartMilliseconds = 200) }
 
-        test("requests with a part that crashes targets stop reaching them, whichever entry they come to") {
-            val targets = targets()
-            val ports = startEntries(targets)
-            targets.forEach { it.crashesOn = "bad" }
-            val statuses =
-                List(12) { number ->
-                    delay(100.milliseconds)
-                    send(ports[number % 2], "c$number", "first:100,bad:50,own$number:10").statusCode()
-                }
-            targets.sumOf { it.crashes } shouldBeLessThanOrEqual MAXIMUM_CRASHES
-            statuses.takeLast(6) shouldBe List(6) { 503 }
+        listOf("streams", "calls").forEach { route ->
+            test("requests with a part that crashes targets stop reaching them, whichever entry they come to: $route") {
+                val targets = targets()
+                val ports = startEntries(targets)
+                targets.forEach { it.crashesOn = "bad" }
+                val statuses =
+                    List(12) { number ->
+                        delay(100.milliseconds)
+                        send(ports[number % 2], "c$number", "first:100,bad:50,own$number:10", path = "/$route/1").statusCode()
+                    }
+                targets.sumOf { it.crashes } shouldBeLessThanOrEqual MAXIMUM_CRASHES
+                statuses.takeLast(6) shouldBe List(6) { 503 }
+            }
         }
 
         test("sound requests that share other parts with requests that crash targets are served") {
