Clear a part only by answers that succeeded

What callers would see: while a part crashes targets, a request with it that a target rejects (400, 404, 422) withdraws the verdict everywhere, and targets crash again. Anyone may send such a request.

Cause: forwardWhole counted every answer below 500 as written with the prompt, though a target rejects without reading it.

Evidence, before the change: CrashingPromptTest, "an error that a target answers does not clear a part: expected:<503> but was:<200>".

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineHandler.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineHandler.kt
@@ -199,6 +199,8 @@
             loadBalancer.failed(target.name, now())
         } else {
             loadBalancer.succeeded(target.name)
+        }
+        if (answer.status in SUCCESS) {
             promptGuard.answered(request.sharedParts)
         }
         if (isFailure && request.route.isRepeatable && request.possibleRuns + 1 < request.route.attempts) {
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/CrashingPromptTest.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/CrashingPromptTest.kt
@@ -78,6 +78,24 @@
                 List(10) { 200 }
         }
 
+        test("an error that a target answers does not clear a part") {
+            val targets = targets()
+            val ports = startEntries(targets)
+            suspend fun crash(id: String) {
+                targets.forEach { it.crashesOn = "bad" }
+                send(ports[0], id, "bad:50,$id:10", path = "/once/1")
+                targets.forEach { it.crashesOn = null }
+                // A second crash of the same target within two seconds would count as the first one.
+                delay(2200.milliseconds)
+            }
+            crash("h1")
+            targets.forEach { it.status = 400 }
+            send(ports[0], "h2", "bad:50,h2:10").statusCode() shouldBe 400
+            targets.forEach { it.status = 200 }
+            crash("h3")
+            send(ports[0], "h4", "bad:50,h4:10").statusCode() shouldBe 503
+        }
+
         test("crashes of targets for other reasons refuse no request") {
             val targets = targets()
             val ports = startEntries(targets)
