--- a/tanagerlane-core/src/test/kotlin/tanagerlane/quarantine/QuarantineSimulation.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/quarantine/QuarantineSimulation.kt
@@ -17,6 +17,7 @@
  *
  * @property guiltyShare share of the requests from [QuarantineSimulation.GUILTY_TIME] whose prompt crashes targets
  * @property guiltyParts number of different parts that crash targets
+ * @property areHeld whether refused requests with guilty parts are held and tried again, as batch items are
  * @property targetsAtOnce number of neighbouring targets that crash together
  * @property crashPause time from one such crash to the next
  * @property crashSpread time within which targets that crash together have crashed
@@ -28,6 +29,7 @@
     val name: String,
     val guiltyShare: Double = 0.0,
     val guiltyParts: Int = 1,
+    val areHeld: Boolean = false,
     val targetsAtOnce: Int = 1,
     val crashPause: Duration? = null,
     val crashSpread: Duration = 15.milliseconds,
@@ -139,7 +141,9 @@
             return finish(request, hasBegun = false)
         }
         process.quarantine.findQuarantined(request.parts, now)?.let {
-            if (!request.isGuilty) {
+            if (request.isGuilty && troubles.areHeld) {
+                after(20.milliseconds) { send(request, process) }
+            } else if (!request.isGuilty) {
                 outcome.soundRefused++
                 outcome.wrongParts += it.part
             }
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/quarantine/QuarantineSimulationTest.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/quarantine/QuarantineSimulationTest.kt
@@ -24,7 +24,12 @@
             DayTroubles("domains that fail at once", targetsAtOnce = 8, crashPause = 10.seconds),
             DayTroubles("crashes of targets, restarts of processes", crashPause = 1.seconds, restartPause = 3.seconds),
             DayTroubles("crashes of targets, frozen processes", crashPause = 1.seconds, freezePause = 4.seconds),
-            DayTroubles("racks that fail at once, lost reports", 0.0, 1, 4, 5.seconds, lossShare = 0.5),
+            DayTroubles(
+                "racks that fail at once, lost reports",
+                targetsAtOnce = 4,
+                crashPause = 5.seconds,
+                lossShare = 0.5,
+            ),
         ).forEach { troubles ->
             test("sound requests are not refused beside ${troubles.name}") {
                 assertSoftly {
@@ -49,6 +54,7 @@
             DayTroubles("restarts of processes", guiltyShare = 0.05, restartPause = 3.seconds),
             DayTroubles("frozen processes", guiltyShare = 0.05, freezePause = 4.seconds),
             DayTroubles("lost reports", guiltyShare = 0.05, lossShare = 0.5),
+            DayTroubles("batch items that are held", guiltyShare = 0.05, areHeld = true),
         ).forEach { troubles ->
             test("prompts that crash targets are kept from them and sound ones served beside ${troubles.name}") {
                 assertSoftly {
