Log a registration of a process that can't be read once for each version

What operators saw: an odd registration among those of the processes (kind members) gave a warning at each confirmation of the view and at each check of the own registration, not once.

Cause: Membership decoded the registrations anew each time. It now uses DecodedObjects, as the other kinds do, and cuts the reason to 200 characters.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/Membership.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/Membership.kt
@@ -1,5 +1,8 @@
 package tanagerlane.direct
 
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.withTimeoutOrNull
@@ -26,13 +29,16 @@
 ) {
     private var ownMember: Member? = null
     private var view = ObjectView(KIND)
+    private val decodedMembers = DecodedObjects(ViewSource(KIND, ::memberOf))
+    private var registered: List<Member> = emptyList()
     private val unreachableSince = HashMap<HostName, Instant>()
     private val changes = Channel<Unit>(Channel.CONFLATED)
 
     /** Applies [updated], the registrations that are stored in the object API. */
     fun update(updated: ObjectView) {
         view = updated
-        fleet.updateMembers(view.objects.values.mapNotNull(::memberOf))
+        registered = decodedMembers.decode(view)
+        fleet.updateMembers(registered)
         changes.trySend(Unit)
     }
 
@@ -55,7 +61,7 @@
         store.delete(keyOf(member.host), ObjectVersion(stored.version))
     }
 
-    private fun isRegistered(member: Member): Boolean = view.objects[member.host.text]?.let(::memberOf) == member
+    private fun isRegistered(member: Member): Boolean = member.host.text in view.objects && member in registered
 
     private suspend fun register(member: Member) {
         val storedVersion = view.objects[member.host.text]?.version?.let(::ObjectVersion)
@@ -86,13 +92,14 @@
         }
     }
 
-    private fun memberOf(stored: ViewObject): Member? =
-        try {
-            stored.value?.let { Json.decodeFromString(Member.serializer(), it.toText()) }
+    private fun memberOf(stored: ViewObject): Result<Member, UnreadableObject> {
+        val value = stored.value ?: return Err(UnreadableObject(stored.name, "deleted"))
+        return try {
+            Ok(Json.decodeFromString(Member.serializer(), value.toText()))
         } catch (exception: SerializationException) {
-            logger.warn("registration not decoded name={} cause={}", stored.name, exception.message)
-            null
+            Err(UnreadableObject(stored.name, exception.message.orEmpty().take(MAXIMUM_REASON_CHARACTERS)))
         }
+    }
 
     private fun keyOf(host: HostName) = ObjectKey("$KIND/${host.text}")
 
@@ -100,6 +107,8 @@
         /** Kind of the objects that hold the registrations. */
         const val KIND = "members"
 
+        private const val MAXIMUM_REASON_CHARACTERS = 200
+
         /** Maximum time between two checks of the registrations; a change triggers a check at once. */
         private val CHECK_INTERVAL = 1.seconds
 
