Log a record of a job that can't be read once for each version

What operators saw: nothing. A record of a job that can't be decoded was left out without a line, so a job that no runner takes could not be told from one that was never stored.

Cause: JobIndex dropped the null that stands for such a record. It now logs kind, name and version, once for each version.

Evidence: OddObjectsTest, "an odd record costs no other job and is logged once for each version", failed before: expected:<1> but was:<0>.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobIndex.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobIndex.kt
@@ -1,7 +1,9 @@
 package tanagerlane.direct
 
+import org.slf4j.LoggerFactory
 import tanagerlane.joblog.JobRecord
 import tanagerlane.message.JobBacklog
+import tanagerlane.message.ViewObject
 import tanagerlane.model.HostName
 import tanagerlane.model.JobId
 import tanagerlane.model.WorkspaceName
@@ -14,6 +16,7 @@
     private val storage: JobStorage,
 ) {
     private val records = HashMap<JobId, JobRecord>()
+    private val unreadableVersions = HashMap<JobId, Long>()
     private val backlogs = HashMap<JobId, Long>()
     private val finishedJobs = HashSet<JobId>()
 
@@ -30,11 +33,13 @@
                 val job = JobId(name.removePrefix(JobStorage.RECORD_PREFIX))
                 present += job
                 if (job !in records) {
-                    storage.decodeRecord(value)?.let { records[job] = it }
+                    val record = storage.decodeRecord(value)
+                    if (record == null) logUnreadable(job, stored) else records[job] = record
                 }
             }
         }
         records.keys.retainAll(present)
+        unreadableVersions.keys.retainAll(present)
         backlogs.keys.retainAll(present)
         finishedJobs.retainAll(present)
         endedJobs =
@@ -78,7 +83,23 @@
             .filter { it.workspace == workspace && it.route == route && it.keepUntil > now }
             .sumOf { record -> backlogs[record.job] ?: record.tokens }
 
+    private fun logUnreadable(
+        job: JobId,
+        stored: ViewObject,
+    ) {
+        if (unreadableVersions.put(job, stored.version) != stored.version) {
+            logger.warn(
+                "object not decoded kind={} name={} version={} cause=no record of a job",
+                JobStorage.JOBS_KIND,
+                stored.name,
+                stored.version,
+            )
+        }
+    }
+
     internal companion object {
+        private val logger = LoggerFactory.getLogger(JobIndex::class.java)
+
         /** Returns the process among [runners] that runs [job], or null if [runners] is empty. */
         fun runnerOf(
             job: JobId,
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/OddObjectsTest.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/OddObjectsTest.kt
@@ -1,9 +1,13 @@
 package tanagerlane.direct
 
+import ch.qos.logback.classic.Logger
+import ch.qos.logback.classic.spi.ILoggingEvent
+import ch.qos.logback.core.read.ListAppender
 import com.github.michaelbull.result.getOrElse
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.shouldBe
+import org.slf4j.LoggerFactory
 import tanagerlane.joblog.JobRecord
 import tanagerlane.message.ViewObject
 import tanagerlane.model.JobId
@@ -89,15 +93,20 @@
             }
         }
 
-        test("an odd record costs no other job") {
+        test("an odd record costs no other job and is logged once for each version") {
             val index = JobIndex(storage)
+            val logged = ListAppender<ILoggingEvent>().apply { start() }
+            val logger = LoggerFactory.getLogger("tanagerlane.direct") as Logger
+            logger.addAppender(logged)
             val objects =
                 listOf(
                     ViewObject("card.a", 2, Payload.of(bytesOf(record("a")))),
                     ViewObject("card.b", 3, Payload.of(ByteArray(0))),
                     ViewObject("card.c", 4, Payload.of(bytesOf(record("c")))),
                 )
-            index.update(ObjectView("jobs", ObjectVersion(4), objects.associateBy { it.name }))
+            repeat(3) { index.update(ObjectView("jobs", ObjectVersion(4), objects.associateBy { it.name })) }
+            logger.detachAppender(logged)
             index.open().map { it.job.text }.toSet() shouldBe setOf("a", "c")
+            logged.list.count { "name=card.b version=3" in it.formattedMessage } shouldBe 1
         }
     })
