Reject an answer whose head contains the status line of another

Callers saw: a request that may run once ran twice. By the same cause one that a target runs counts as not run (503), and a failure passes for a success.

Cause: a target wrote the first part of a further answer after a complete one and cut it off within a header or the status line. The bytes stayed in the parser of the idle connection, and the answer to the next request was appended to them: status and Not-Run of the one, id of the other. The head was believed because only the id is compared.

Evidence: RepeatedRefusalServingTest "a request that may run once is run once although a refusal that ends early precedes its answer" failed on the code before: expected:<1> but was:<2> runs. RepeatedRefusalTest, 8 cases "... that ends early is not joined with the answer to the next request" failed: expected ["200", "Lost"] but was ["200", "503"] (4 cases), ["200", "421"] (2) and ["200", "200"] (2, the target's answer was a 500). The cases of a cut after a whole header, within a header's name and within the id passed before. All tests of the module pass now.

This holds no matter when the bytes arrive.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetClient.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetClient.kt
@@ -177,6 +177,9 @@
         if (answerId != id) {
             return Err(CallFault.Lost("answer belongs to another request: $answerId"))
         }
+        JoinedHeads.secondStatusLine(response)?.let {
+            return Err(CallFault.Lost("head contains the status line of another answer: $it"))
+        }
         if (response.statusCode() < FIRST_FINAL_STATUS) {
             return Err(CallFault.Lost("final answer has an interim status: ${response.statusCode()}"))
         }
@@ -191,6 +194,7 @@
         hasLength(response) &&
             !connection.isUsedUp &&
             response.getHeader(requestIdHeader) == id &&
+            JoinedHeads.secondStatusLine(response) == null &&
             response.getHeader("connection")?.lowercase() != "close"
 
     private fun hasLength(response: HttpClientResponse): Boolean =
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/RepeatedRefusalServingTest.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/RepeatedRefusalServingTest.kt
@@ -43,6 +43,11 @@
         ) {
             val attempt = attempts.merge(id, 1, Int::plus)
             when {
+                id.startsWith("cut") -> {
+                    runs.merge(id, 1, Int::plus)
+                    socket.write(success(id) + "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nX-Cause: ")
+                }
+
                 id.startsWith("other") -> {
                     socket.write(success(id))
                 }
@@ -101,6 +106,17 @@
                 }
             outcomes shouldBe List(ROUNDS) { "200 after 1 runs" }
         }
+        test("a request that may run once is run once although a refusal that ends early precedes its answer") {
+            val deployment = FakeDeployment(vertx, emptyList()).also { it.prepare() }
+            deployment.store.put(ObjectKey("targets/t1"), Payload.of("${startTarget()}"), null)
+            val port = deployment.start("entry-1", "entry").port
+            eventually(10.seconds) { send(port, "other") shouldBe 200 }
+            repeat(ROUNDS) { round ->
+                send(port, "cut$round")
+                runs["cut$round"] shouldBe 1
+            }
+        }
+
         test("an item that runs counts as run although an earlier refusal is repeated") {
             val names =
                 HeaderNames(
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/RepeatedRefusalTest.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/RepeatedRefusalTest.kt
@@ -133,6 +133,28 @@
             }
         }
 
+        listOf(
+            "a refusal" to "${REFUSAL_START}X-Cause: ",
+            "a refusal, within a value" to "${REFUSAL_START}X-Cause: fu",
+            "a refusal, after a whole header" to REFUSAL_START,
+            "a refusal, within a name" to "${REFUSAL_START}X-Cau",
+            "a refusal, within the id" to "${REFUSAL_START}Attempt-Id: r",
+            "a refusal, within the status line" to "HTTP/1.1 421 Misdirected",
+            "a success" to "HTTP/1.1 200 OK\r\nX-Cause: ",
+        ).forEach { (name, extra) ->
+            listOf(Duration.ZERO, 50.milliseconds).forEach { pause ->
+                test(
+                    "$name that ends early is not joined with the answer to the next request, pause $pause",
+                ) {
+                    reply = { socket, ids ->
+                        val id = ids.last()
+                        socket.write(if (id == "r1") success(id) + extra else failure(id))
+                    }
+                    outcomes(listOf("r1", "r2"), pause) shouldBe listOf("200", "Lost")
+                }
+            }
+        }
+
         test("a refusal without an id does not count as not run") {
             reply = { socket, _ -> socket.write(REFUSAL_START + REFUSAL_END) }
             outcomes(listOf("r1")) shouldBe listOf("Lost")
@@ -166,6 +188,8 @@
 
         fun refusal(id: String) = "${REFUSAL_START}Attempt-Id: $id\r\n$REFUSAL_END"
 
+        fun failure(id: String) = "HTTP/1.1 500 Failed\r\nAttempt-Id: $id\r\nContent-Length: 0\r\n\r\n"
+
         fun success(id: String) = "HTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nContent-Length: 2\r\n\r\nok"
     }
 }
