--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/CrashingPromptTest.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/CrashingPromptTest.kt
@@ -60,7 +60,12 @@
                 val statuses =
                     List(12) { number ->
                         delay(100.milliseconds)
-                        send(ports[number % 2], "c$number", "first:100,bad:50,own$number:10", path = "/$route/1").statusCode()
+                        send(
+                            ports[number % 2],
+                            "c$number",
+                            "first:100,bad:50,own$number:10",
+                            path = "/$route/1",
+                        ).statusCode()
                     }
                 targets.sumOf { it.crashes } shouldBeLessThanOrEqual MAXIMUM_CRASHES
                 statuses.takeLast(6) shouldBe List(6) { 503 }
@@ -81,6 +86,7 @@
         test("an error that a target answers does not clear a part") {
             val targets = targets()
             val ports = startEntries(targets)
+
             suspend fun crash(id: String) {
                 targets.forEach { it.crashesOn = "bad" }
                 send(ports[0], id, "bad:50,$id:10", path = "/once/1")
