Save only events of items after which a run can be resumed

Found by reading, not seen: events without numbers were saved, and since "Join a run to the events of an item only if its events follow on" the next run starts anew. Its first events would have counted as saved, so that the file held those of the earlier run in their place.

ProgressFileTest and BrokenItemTest pass; no test shows the fault itself, which needs a process that ends between the two runs.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ItemProgress.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ItemProgress.kt
@@ -20,8 +20,12 @@
     /** Number of events that are saved on the local disk. */
     var savedEventCount = 0
 
-    /** Number of events that may be saved: all but the newest, so that a resumed run always has an event to receive. */
-    val savableEventCount: Int get() = (received.size - 1).coerceAtLeast(0)
+    /**
+     * Number of events that may be saved: all but the newest, so that a resumed run always has an event to receive.
+     *
+     * Without a number none may be saved, since no run can be resumed after them.
+     */
+    val savableEventCount: Int get() = if (lastEvent == null) 0 else received.size - 1
 
     var attempts = ItemAttempts()
 
