Take a sidecar's stream without a length for broken if it ends inside an event

What callers would see: a stream through a sidecar that was cut inside an event ended as if it were complete, if the target's answer had neither a length nor chunks and its connection was closed in order. Found by looking for the cause of the same fault in processes that call targets directly.

Cause: TargetClient.forwardAnswer ends the answer with its body. Answers with a length or chunks are passed on as they are.

Resets were already reported.

--- a/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/AnswerLimitChecker.kt
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/AnswerLimitChecker.kt
@@ -16,6 +16,9 @@
         if (isStream) AnswerLimits.MAXIMUM_STREAM_BYTES else AnswerLimits.MAXIMUM_ANSWER_BYTES.toLong()
     private var receivedBytes = 0L
 
+    /** Whether the answer is a stream and an event of it is unfinished. */
+    val isInsideEvent: Boolean get() = events.isInsideEvent
+
     /** Counts [bytes] and throws [AnswerLimitException] if the answer exceeds a limit with them. */
     fun add(bytes: ByteArray) {
         receivedBytes += bytes.size
--- a/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/TargetClient.kt
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/TargetClient.kt
@@ -22,6 +22,7 @@
 import tanagerlane.model.RunState
 import tanagerlane.runtime.AnswerPieces
 import tanagerlane.runtime.InterimAnswers
+import java.io.IOException
 import java.net.ConnectException
 
 /**
@@ -125,9 +126,16 @@
             limitChecker.add(piece.bytes)
             sink.bytes(Payload.of(piece.bytes))
         }
+        if (isUnframed(response) && limitChecker.isInsideEvent) {
+            throw IOException("stream without a length ended inside an event")
+        }
         sink.end()
     }
 
+    /** Whether the end of the body is that of the connection, which may also have been lost. */
+    private fun isUnframed(response: HttpClientResponse): Boolean =
+        response.getHeader("content-length") == null && response.getHeader("transfer-encoding") == null
+
     /** Pauses the body until its handlers are set; otherwise its first bytes could be lost. */
     private fun pausedResponse(response: HttpClientResponse): HttpClientResponse {
         response.pause()
