Ask several times whether a target that lost a request refuses connections

Callers' requests with a part that crashes targets kept reaching them: a crash counts as evidence only if the target refuses connections, which was asked once, and the listener of a crashed process may close after its connections.

Cause: TargetClient.isRefusing connected once, at the moment of the loss. FakeTarget resets the connection of the crash first and can keep its listener open for some time.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetClient.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetClient.kt
@@ -14,6 +14,7 @@
 import io.vertx.core.http.RequestOptions
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
 import tanagerlane.places.DirectTarget
@@ -66,10 +67,27 @@
         }
     }
 
-    /** Whether [target] refuses connections, as it does while its process does not run. */
+    /**
+     * Whether [target] refuses connections, as it does while its process does not run.
+     *
+     * Asks several times, because the connections of a process may end before its listener closes.
+     */
     suspend fun isRefusing(target: DirectTarget): Boolean {
         val address = WireAddress.parse(target.address) ?: return false
-        return try {
+        for (pause in REFUSAL_CHECK_PAUSES) {
+            delay(pause)
+            if (refusesConnection(target, address)) {
+                return true
+            }
+        }
+        return false
+    }
+
+    private suspend fun refusesConnection(
+        target: DirectTarget,
+        address: WireAddress,
+    ): Boolean =
+        try {
             withTimeoutOrNull(CONNECT_TIMEOUT) { client.connect(optionsFor(address)).coAwait() }?.close()
             false
         } catch (exception: CancellationException) {
@@ -81,7 +99,6 @@
             logger.debug("connect failed target={} cause={}", target.name, exception.toString())
             false
         }
-    }
 
     /** Closes the idle connections to targets at addresses other than [addresses]. */
     fun keepOnly(addresses: Set<String>): Unit = idle.keepOnly(addresses)
@@ -120,6 +137,9 @@
     private companion object {
         /** Time limit for opening a connection; targets are a few milliseconds away. */
         val CONNECT_TIMEOUT = 400.milliseconds
+
+        /** Pauses before the checks whether a target refuses connections; a restart takes longer than all of them. */
+        val REFUSAL_CHECK_PAUSES = listOf(0, 50, 200).map { it.milliseconds }
         val logger = LoggerFactory.getLogger(TargetClient::class.java)
     }
 }
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/CrashingPromptTest.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/CrashingPromptTest.kt
@@ -72,6 +72,24 @@
             }
         }
 
+        test("a target whose listener outlives its connections counts as crashed") {
+            val targets = List(4) { FakeTarget(vertx, "l$it", restartMilliseconds = 400, listenerMilliseconds = 100) }
+            val ports = startEntries(targets)
+            targets.forEach { it.crashesOn = "bad" }
+            val statuses =
+                List(12) { number ->
+                    delay(300.milliseconds)
+                    send(
+                        ports[number % 2],
+                        "l$number",
+                        "first:100,bad:50,own$number:10",
+                        path = "/calls/1",
+                    ).statusCode()
+                }
+            targets.sumOf { it.crashes } shouldBeLessThanOrEqual MAXIMUM_CRASHES
+            statuses.takeLast(6) shouldBe List(6) { 503 }
+        }
+
         test("sound requests that share other parts with requests that crash targets are served") {
             val targets = targets()
             val ports = startEntries(targets)
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeTarget.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeTarget.kt
@@ -17,6 +17,7 @@
  * @property pauseMilliseconds time between two events, in milliseconds
  * @property eventBytes number of filler bytes added to each event
  * @property restartMilliseconds time from a crash until the target listens again, in milliseconds
+ * @property listenerMilliseconds time for which the target still accepts connections after a crash, in milliseconds
  */
 internal class FakeTarget(
     private val vertx: Vertx,
@@ -25,6 +26,7 @@
     private val pauseMilliseconds: Long = 5,
     private val eventBytes: Int = 0,
     private val restartMilliseconds: Long = 500,
+    private val listenerMilliseconds: Long = 0,
 ) {
     /** Requests received, each as its id and the event after which its stream resumes. */
     val requests = CopyOnWriteArrayList<String>()
@@ -85,8 +87,9 @@
     /** Sends the head of an answer, then ends all connections and refuses new ones until the target has restarted. */
     private fun crash(response: HttpServerResponse) {
         crashes++
-        response.setChunked(true).writeHead()
-        vertx.setTimer(1) { server?.close() }
+        val connection = response.setChunked(true).also { it.writeHead() }
+        vertx.setTimer(1) { connection.reset() }
+        vertx.setTimer(1 + listenerMilliseconds) { server?.close() }
         vertx.setTimer(restartMilliseconds) { listen() }
     }
 
