Keep relaying store calls shortly after the last one when a process stops, then refuse them

A submission makes two writes. Between them a stopping runner had no open call and ended, while the entry sent the second to it: the entry waited a second for a reply and could not tell whether the write had taken effect.

StoreRelay counts as relaying for 250 ms after a call; once the daemon stops, later calls are answered "not made", so their senders use another path. The race itself is closed by the refusal, not by the pause alone.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
@@ -229,6 +229,7 @@
             logger.info("stopping open_requests={}", callerService.openRequests)
             startLeaving()
             finishOpenWork(plan)
+            storeRelay.close()
             logger.info(
                 "closing connections open_requests={} jobs_released={}",
                 callerService.openRequests,
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/StoreRelay.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/StoreRelay.kt
@@ -52,10 +52,18 @@
     /** Starts anywhere, so that a late reply to an earlier instance of this process answers no call of this one. */
     private var lastCallNumber = Random.nextLong()
     private var callsForPeers = 0
+    private var lastCallForPeerEndedAt: Instant? = null
+    private var isClosed = false
     private var paths = StorePaths()
 
-    /** Whether this process is making a call on behalf of another one. */
-    val isRelaying: Boolean get() = callsForPeers > 0
+    /**
+     * Whether this process is making calls on behalf of another one.
+     *
+     * It still is for a short time after a call has ended, because an operation of the other process may consist of
+     * several calls.
+     */
+    val isRelaying: Boolean
+        get() = callsForPeers > 0 || lastCallForPeerEndedAt?.let { now() - it < NEXT_CALL_TIMEOUT } ?: false
 
     override suspend fun get(key: ObjectKey): Result<StoredObject, StoreFailure> =
         callDirectOrRelayed(RelayedVerb.GET, key.path, direct = { store.get(key) }) { reply ->
@@ -82,17 +90,27 @@
             Ok(ObjectVersion(it.version))
         }
 
+    /** Makes no more calls on behalf of other processes; they are told so. */
+    fun close() {
+        isClosed = true
+    }
+
     /** Makes [call] on behalf of [from] and sends the reply. */
     fun onCall(
         from: HostName,
         call: RelayedCall,
     ) {
+        if (isClosed) {
+            send(from, failureReply(call, StoreFailure.Unavailable("relay is stopping")))
+            return
+        }
         callsForPeers++
         scope.launch {
             try {
                 send(from, execute(call))
             } finally {
                 callsForPeers--
+                lastCallForPeerEndedAt = now()
             }
         }
     }
@@ -272,6 +290,9 @@
         /** Time after which a call also goes through a relay; normally, the object API answers within milliseconds. */
         val DIRECT_TIMEOUT = 120.milliseconds
 
+        /** Time after a relayed call within which its sender makes the next call of the same operation. */
+        val NEXT_CALL_TIMEOUT = 250.milliseconds
+
         /** Name of the object to read in a listed folder; it need not exist. */
         const val PROBE_NAME = "0"
         val logger = LoggerFactory.getLogger(StoreRelay::class.java)
