Take a reset by a closing listener of the stand-in for one more accepted connection

TargetServer.stop waits until connections are refused, but ended with "Connection reset by peer" if the listener accepted a connection and closed it. That is no refusal yet, so it asks again.

--- a/tanagerlane-standin/src/main/kotlin/tanagerlane/standin/http/TargetServer.kt
+++ b/tanagerlane-standin/src/main/kotlin/tanagerlane/standin/http/TargetServer.kt
@@ -23,6 +23,7 @@
 import tanagerlane.model.Payload
 import java.net.ConnectException
 import java.net.Socket
+import java.net.SocketException
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -103,6 +104,9 @@
             true
         } catch (_: ConnectException) {
             false
+        } catch (_: SocketException) {
+            // Reset by the closing listener, which may still accept another connection.
+            true
         }
 
     private suspend fun serve(
