--- a/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/daemon/DaemonRuntime.kt
+++ b/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/daemon/DaemonRuntime.kt
@@ -7,6 +7,9 @@
 import io.vertx.core.VertxOptions
 import kotlinx.coroutines.runBlocking
 import tanagerlane.configuration.SettingsFault
+import tanagerlane.wire.WireAddress
+import tanagerlane.wire.WireFault
+import java.io.IOException
 import java.nio.file.Path
 import java.util.concurrent.CountDownLatch
 import kotlin.concurrent.thread
@@ -43,6 +46,15 @@
     stopped.await()
 }
 
+/** Starts a daemon by [start]; ends the command if it cannot listen, so that its supervisor can start it again. */
+internal fun startDaemon(start: suspend () -> Result<WireAddress, WireFault>) {
+    try {
+        runBlocking { start() }.getOrElse { startFailure(it) }
+    } catch (exception: IOException) {
+        startFailure(exception)
+    }
+}
+
 /** Ends the command with the reason why a daemon did not start. */
-internal fun startFailure(fault: Any): Nothing =
+private fun startFailure(fault: Any): Nothing =
     throw PrintMessage("tanagerlane: could not start: $fault", statusCode = 1, printError = true)
--- a/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/daemon/EntryCommand.kt
+++ b/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/daemon/EntryCommand.kt
@@ -5,8 +5,6 @@
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.options.required
 import com.github.ajalt.clikt.parameters.types.path
-import com.github.michaelbull.result.getOrElse
-import kotlinx.coroutines.runBlocking
 import tanagerlane.configuration.SettingsReader
 import tanagerlane.entry.EntryDaemon
 import tanagerlane.runtime.HttpObjectStore
@@ -23,7 +21,7 @@
         val settings = settingsOf(settingsFile, SettingsReader.entry()::read)
         val vertx = smallVertx()
         val daemon = EntryDaemon(settings, HttpObjectStore(settings.host.objectApi, vertx), vertx)
-        runBlocking { daemon.start().getOrElse { startFailure(it) } }
+        startDaemon(daemon::start)
         runUntilStopped(daemon::drainAndStop)
     }
 }
--- a/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/daemon/SidecarCommand.kt
+++ b/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/daemon/SidecarCommand.kt
@@ -5,8 +5,6 @@
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.options.required
 import com.github.ajalt.clikt.parameters.types.path
-import com.github.michaelbull.result.getOrElse
-import kotlinx.coroutines.runBlocking
 import tanagerlane.configuration.SettingsReader
 import tanagerlane.runtime.HttpObjectStore
 import tanagerlane.sidecar.SidecarDaemon
@@ -23,7 +21,7 @@
         val settings = settingsOf(settingsFile, SettingsReader.sidecar()::read)
         val vertx = smallVertx()
         val daemon = SidecarDaemon(settings, HttpObjectStore(settings.host.objectApi, vertx), vertx)
-        runBlocking { daemon.start().getOrElse { startFailure(it) } }
+        startDaemon(daemon::start)
         runUntilStopped(daemon::drainAndStop)
     }
 }
--- a/tanagerlane-cli/src/test/kotlin/tanagerlane/scenario/StopScenarioTest.kt
+++ b/tanagerlane-cli/src/test/kotlin/tanagerlane/scenario/StopScenarioTest.kt
@@ -45,8 +45,11 @@
                 val balancer = Balancer(entries)
                 val workers =
                     (1..WORKERS).map { worker -> async(Dispatchers.IO) { work(worker, load, balancer, isOver) } }
-                restartAll()
-                isOver.set(true)
+                try {
+                    restartAll()
+                } finally {
+                    isOver.set(true)
+                }
                 workers.flatMap { it.await() }.sortedBy { it.at }.also { balancer.close() }
             }
 
