Wait for wake-ups without an exception for each timeout

JobStoreTest took 24 s of wall clock for 76 hours of virtual time, and 60 s beside load. Thread dumps show where: withTimeoutOrNull creates a TimeoutCancellationException with its stack trace for each timeout, once a second in each loop of a worker. ReceiveWithin selects between the channel and the time instead; all loops that wait for a wake-up use it, also those of the daemons, which time out several times a second.

--- a/tanagerlane-batch/src/main/kotlin/tanagerlane/jobs/BatchWorker.kt
+++ b/tanagerlane-batch/src/main/kotlin/tanagerlane/jobs/BatchWorker.kt
@@ -12,6 +12,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import tanagerlane.batch.BatchRules
 import tanagerlane.batch.Claimant
+import tanagerlane.concurrency.receiveWithin
 import tanagerlane.model.WorkspaceName
 import tanagerlane.store.ObjectKey
 import tanagerlane.store.ObjectStore
@@ -94,7 +95,7 @@
         while (!stopping) {
             val claim = if (wantsChunk()) claimer.claimNext(board.jobs(), target.models()) else null
             if (claim == null) {
-                withTimeoutOrNull(rules.retryInterval) { claimWanted.receive() }
+                claimWanted.receiveWithin(rules.retryInterval)
             } else {
                 hold(claim)
             }
--- a/tanagerlane-batch/src/main/kotlin/tanagerlane/jobs/ChunkHolder.kt
+++ b/tanagerlane-batch/src/main/kotlin/tanagerlane/jobs/ChunkHolder.kt
@@ -6,13 +6,13 @@
 import com.github.michaelbull.result.getOrElse
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.channels.Channel
-import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.Logger
 import org.slf4j.LoggerFactory
 import tanagerlane.batch.BatchRules
 import tanagerlane.batch.CheckpointDraft
 import tanagerlane.batch.HeldChunk
 import tanagerlane.batch.attemptsOf
+import tanagerlane.concurrency.receiveWithin
 import tanagerlane.job.ResultPage
 import tanagerlane.model.Payload
 import tanagerlane.store.ObjectKey
@@ -118,7 +118,7 @@
     /** Stores checkpoints until the chunk is finished, given up or lost. */
     suspend fun keep() {
         while (true) {
-            withTimeoutOrNull(rules.checkpointInterval) { checkpointWanted.receive() }
+            checkpointWanted.receiveWithin(rules.checkpointInterval)
             if (!checkpoint()) {
                 return
             }
--- a/tanagerlane-batch/src/main/kotlin/tanagerlane/jobs/ItemDispatcher.kt
+++ b/tanagerlane-batch/src/main/kotlin/tanagerlane/jobs/ItemDispatcher.kt
@@ -7,9 +7,9 @@
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.Logger
 import org.slf4j.LoggerFactory
+import tanagerlane.concurrency.receiveWithin
 import tanagerlane.model.RefusalReason
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration
@@ -60,7 +60,7 @@
             if (spareCapacity > 0) {
                 hungry()
             }
-            withTimeoutOrNull(if (held.size == 0) idleInterval else LOOK_INTERVAL) { wakeUps.receive() }
+            wakeUps.receiveWithin(if (held.size == 0) idleInterval else LOOK_INTERVAL)
         }
     }
 
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobRunner.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobRunner.kt
@@ -10,6 +10,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
+import tanagerlane.concurrency.receiveWithin
 import tanagerlane.joblog.ItemEnd
 import tanagerlane.joblog.ItemTimeEstimate
 import tanagerlane.joblog.ItemUrgency
@@ -89,7 +90,7 @@
     suspend fun run() {
         var lastPassAt = now()
         while (true) {
-            withTimeoutOrNull(PASS_INTERVAL) { passRequests.receive() }
+            passRequests.receiveWithin(PASS_INTERVAL)
             if (now() - lastPassAt > STALL_THRESHOLD) {
                 logger.warn("process was paused for={}", now() - lastPassAt)
                 assignedJobs.values.forEach { it.mayBeStale = true }
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/Membership.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/Membership.kt
@@ -5,10 +5,10 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
 import kotlinx.coroutines.channels.Channel
-import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.slf4j.LoggerFactory
+import tanagerlane.concurrency.receiveWithin
 import tanagerlane.membership.Member
 import tanagerlane.message.ViewObject
 import tanagerlane.model.HostName
@@ -49,7 +49,7 @@
             if (view.isComplete && !isRegistered(member)) {
                 register(member)
             }
-            withTimeoutOrNull(CHECK_INTERVAL) { changes.receive() }
+            changes.receiveWithin(CHECK_INTERVAL)
             removeLostMembers()
         }
     }
@@ -70,7 +70,7 @@
             success = { logger.info("registered host={} version={}", member.host, it) },
             failure = { logger.warn("not registered host={} cause={}", member.host, it) },
         )
-        withTimeoutOrNull(REGISTRATION_PAUSE) { changes.receive() }
+        changes.receiveWithin(REGISTRATION_PAUSE)
     }
 
     private suspend fun removeLostMembers() {
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/PlaceReports.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/PlaceReports.kt
@@ -2,7 +2,7 @@
 
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.withTimeoutOrNull
+import tanagerlane.concurrency.receiveWithin
 import tanagerlane.limits.EntryFleet
 import tanagerlane.limits.SharedRates
 import tanagerlane.membership.ReportForwarding
@@ -46,7 +46,7 @@
             fleet.broadcast(ownReport())
             val pause = pauseFor(fleet.members.size)
             delay(pause)
-            withTimeoutOrNull(INTERVAL - pause) { requests.receive() }
+            requests.receiveWithin(INTERVAL - pause)
         }
     }
 
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/PromptGuard.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/PromptGuard.kt
@@ -3,8 +3,8 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
+import tanagerlane.concurrency.receiveWithin
 import tanagerlane.message.CrashReport
 import tanagerlane.model.PromptPart
 import tanagerlane.places.DirectTarget
@@ -75,7 +75,7 @@
     /** Reports to the other processes what this one knows, until cancelled. */
     suspend fun run() {
         while (true) {
-            withTimeoutOrNull(REPORT_INTERVAL) { changes.receive() }
+            changes.receiveWithin(REPORT_INTERVAL)
             if (!quarantine.isEmpty) {
                 quarantine.reports(fleet.reachable, now()).forEach(fleet::broadcast)
             }
