Refuse online requests at once when a process is short of its own processor

ProcessorDelay measures how long work waits, by the delay of a task that is due every 50 ms. ProcessorAdmission refuses a new online request as not run once that exceeds half of the objective of its route, with the delay as Retry-After. Streams under way, reads of jobs, submissions and readiness checks go on.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerService.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerService.kt
@@ -17,6 +17,7 @@
 import tanagerlane.model.RunState
 import tanagerlane.model.WorkspaceName
 import tanagerlane.serving.Entitlement
+import tanagerlane.serving.ProcessorAdmission
 import tanagerlane.serving.RouteKind
 import tanagerlane.serving.ServingRoute
 import tanagerlane.serving.ServingWorkspace
@@ -195,6 +196,9 @@
         promptGuard.findQuarantined(parts)?.let {
             return refuse(exchange, RefusalReason.QUARANTINED, it.until - now())
         }
+        ProcessorAdmission.retryAfter(state.processorDelay(), route.objective)?.let {
+            return refuse(exchange, RefusalReason.OVERLOADED, it)
+        }
         val wait = workspace?.let { rates.admit(it.name, state.entries(), now()) }
         if (wait != null) {
             return refuse(exchange, RefusalReason.RATE_LIMITED, wait)
@@ -215,13 +219,15 @@
     ) {
         metrics.refused(reason).increment()
         logger.info(
-            "request refused request={} reason={} run_state=NOT_RUN host={} path={} revision={} current={} retry_after={}",
+            "request refused request={} reason={} run_state=NOT_RUN host={} path={} revision={} current={} " +
+                "processor_delay={} retry_after={}",
             exchange.id?.text,
             reason,
             exchange.host,
             exchange.path,
             state.configuration()?.revision,
             state.isCurrent(),
+            state.processorDelay(),
             retryAfter,
         )
         exchange.refuse(CallerRefusal(reason, RunState.NOT_RUN), retryAfter)
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
@@ -46,6 +46,7 @@
 import tanagerlane.runtime.MonotonicClock
 import tanagerlane.runtime.OperatorServer
 import tanagerlane.runtime.StoreCall
+import tanagerlane.serving.ProcessorDelay
 import tanagerlane.serving.ServingConfiguration
 import tanagerlane.settings.DirectSettings
 import tanagerlane.views.ObjectView
@@ -100,6 +101,7 @@
     private var isLeaving = false
     private var stopPlan: StopPlan? = null
     private var registration: Job? = null
+    private val processorDelay = ProcessorDelay(DELAY_CHECK_INTERVAL)
     private val placeReports =
         PlaceReports(fleet, incarnation, loadBalancer, rates, clock::now, { isLeaving }, { fleet.entries })
 
@@ -185,6 +187,7 @@
                     isReady = { !isLeaving && callersConfiguration() != null && targets.listed.isNotEmpty() },
                     isStopping = { isLeaving },
                     acceptsRequests = { stopPlan?.acceptsRequests(clock.now()) ?: true },
+                    processorDelay = { processorDelay.at(clock.now()) },
                 ),
             now = clock::now,
         )
@@ -269,6 +272,9 @@
         launchLoop("reports", placeReports::run)
         launchLoop("crash reports", promptGuard::run)
         launchLoop("ticks", ::tickLoop)
+        if (!isRunner) {
+            launchLoop("processor delay", ::delayLoop)
+        }
         if (isRunner) {
             launchLoop("jobs", runner::run)
             launchLoop("job reports", ::jobReportLoop)
@@ -294,6 +300,13 @@
             }
         }
 
+    private suspend fun delayLoop() {
+        while (true) {
+            processorDelay.ticked(clock.now())
+            delay(DELAY_CHECK_INTERVAL)
+        }
+    }
+
     private suspend fun tickLoop() {
         while (true) {
             delay(TICK_INTERVAL)
@@ -490,6 +503,7 @@
         val STARTUP_GRACE_PERIOD = StartupGracePeriod(duration = Fleet.SILENCE_TIMEOUT)
         val LOOP_RETRY_PAUSE = 100.milliseconds
         val TICK_INTERVAL = 200.milliseconds
+        val DELAY_CHECK_INTERVAL = 50.milliseconds
         val JOB_REPORT_INTERVAL = 300.milliseconds
 
         /** Number of jobs whose backlogs fit into one datagram. */
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ProcessState.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ProcessState.kt
@@ -2,6 +2,7 @@
 
 import tanagerlane.limits.EntryFleet
 import tanagerlane.serving.ServingConfiguration
+import kotlin.time.Duration
 
 /**
  * State of this process that [CallerService] depends on.
@@ -12,6 +13,7 @@
  * @property isReady whether new callers should be routed to this process
  * @property isStopping whether this process is shutting down
  * @property acceptsRequests whether a request that arrives now is served
+ * @property processorDelay how long work waits for the processor of this process
  */
 internal data class ProcessState(
     val configuration: () -> ServingConfiguration?,
@@ -20,4 +22,5 @@
     val isReady: () -> Boolean,
     val isStopping: () -> Boolean,
     val acceptsRequests: () -> Boolean,
+    val processorDelay: () -> Duration,
 )
