--- a/tanagerlane-wire/src/main/kotlin/tanagerlane/wire/WireCodec.kt
+++ b/tanagerlane-wire/src/main/kotlin/tanagerlane/wire/WireCodec.kt
@@ -17,13 +17,16 @@
             ignoreUnknownKeys = true
         }
 
+    /** Kept, because each call of `serializer()` of a sealed interface builds a table of all its messages. */
+    private val serializer = WireMessage.serializer()
+
     /** Encodes [message]. */
-    public fun encode(message: WireMessage): ByteArray = format.encodeToByteArray(WireMessage.serializer(), message)
+    public fun encode(message: WireMessage): ByteArray = format.encodeToByteArray(serializer, message)
 
     /** Decodes [bytes]; fails with [WireFault.Undecodable] for anything that is not a message. */
     public fun decode(bytes: ByteArray): Result<WireMessage, WireFault> =
         try {
-            Ok(format.decodeFromByteArray(WireMessage.serializer(), bytes))
+            Ok(format.decodeFromByteArray(serializer, bytes))
         } catch (exception: SerializationException) {
             Err(WireFault.Undecodable(exception.message.orEmpty()))
         } catch (exception: IllegalArgumentException) {
