--- a/review/harness/Fleet.java
+++ b/review/harness/Fleet.java
@@ -42,13 +42,13 @@
     final Path folder;
     final List<Machine> machines = new ArrayList<>();
     private final Path root;
-    private final Store store;
+    private final String storeAddress;
     private final String deployFile;
     private final int[] ports = new int[4];
 
-    Fleet(Path root, Store store) throws IOException {
+    Fleet(Path root, String storeAddress) throws IOException {
         this.root = root;
-        this.store = store;
+        this.storeAddress = storeAddress;
         folder = Files.createTempDirectory("tanagerlane-review-");
         deployFile = Files.readString(root.resolve("deploy/system.toml"));
         for (int number = 0; number < ports.length; number++) {
@@ -93,7 +93,7 @@
         values.put("bounds.status_s", "120");
         values.put("bounds.config_ms", "2000");
         values.put("platform.value_bytes", "1048576");
-        values.put("platform.address", store.address());
+        values.put("platform.address", storeAddress);
         values.put("internal_ports.0", String.valueOf(ports[2]));
         values.put("internal_ports.1", String.valueOf(ports[3]));
         if (machine.front != null) {
