--- a/review/2/LongPage.java
+++ b/review/2/LongPage.java
@@ -70,9 +70,9 @@
         Thread.sleep(1000);
         if (hasTrouble) {
             record.line("the store answers 503 to every call");
-            store.trouble = (method, path, body) -> Store.Fate.BUSY;
+            store.trouble = (method, path) -> Store.Fate.BUSY;
             Thread.sleep(OUTAGE_MS);
-            store.trouble = (method, path, body) -> Store.Fate.SERVED;
+            store.trouble = (method, path) -> Store.Fate.SERVED;
             record.line("the store serves again");
         }
         int listed = listed(record, entry, finished, FINISH_S + LONGER_S);
--- a/review/harness/Fleet.java
+++ b/review/harness/Fleet.java
@@ -51,6 +51,7 @@
         this.storeAddress = storeAddress;
         folder = Files.createTempDirectory("tanagerlane-review-");
         deployFile = Files.readString(root.resolve("deploy/system.toml"));
+        Runtime.getRuntime().addShutdownHook(new Thread(this::killAll));
         for (int number = 0; number < ports.length; number++) {
             try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
                 ports[number] = socket.getLocalPort();
@@ -151,11 +152,6 @@
         return false;
     }
 
-    /** Sends a signal to the process of [machine], which this case has started. */
-    static void signal(Machine machine, String name) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-" + name, String.valueOf(machine.process.pid())).start().waitFor();
-    }
-
     /** Returns the lines of the log of [machine] that contain [text]. */
     List<String> logged(Machine machine, String text) throws IOException {
         Path log = folder.resolve(machine.name + ".log");
@@ -164,11 +160,14 @@
         }
     }
 
+    /** Also called when this process is told to stop, so that none of those it started is left. */
+    private void killAll() {
+        machines.stream().filter(machine -> machine.process != null).forEach(machine -> machine.process.destroyForcibly());
+    }
+
     @Override
     public void close() throws Exception {
-        for (Machine machine : machines) {
-            machine.process.destroyForcibly();
-        }
+        killAll();
         for (Machine machine : machines) {
             machine.process.waitFor(5, TimeUnit.SECONDS);
         }
--- a/review/harness/Store.java
+++ b/review/harness/Store.java
@@ -17,11 +17,11 @@
 /** The platform's metadata store, as PROTOCOL.md describes it; keeps all its history. */
 final class Store implements AutoCloseable {
     /** What a case wants to happen to one call. */
-    enum Fate { SERVED, BUSY, ANSWER_LOST, SILENT }
+    enum Fate { SERVED, BUSY }
 
-    /** Decides the fate of a call; may wait to make the store slow. */
+    /** Decides the fate of a call. */
     interface Trouble {
-        Fate fateOf(String method, String path, String body) throws InterruptedException;
+        Fate fateOf(String method, String path);
     }
 
     private record Event(long revision, String kind, Map<String, Object> object, boolean deleted) {}
@@ -32,7 +32,7 @@
     /** Most bytes of one object, `value_bytes` in the settings. */
     private static final int VALUE_BYTES = 1_048_576;
 
-    volatile Trouble trouble = (method, path, body) -> Fate.SERVED;
+    volatile Trouble trouble = (method, path) -> Fate.SERVED;
     private final HttpServer server;
     private final ExecutorService threads = Executors.newCachedThreadPool(runnable -> {
         Thread thread = new Thread(runnable);
@@ -71,10 +71,6 @@
         }
     }
 
-    synchronized List<String> names(String kind) {
-        return new ArrayList<>(kindOf(kind).keySet());
-    }
-
     private TreeMap<String, Map<String, Object>> kindOf(String kind) {
         return kinds.computeIfAbsent(kind, unused -> new TreeMap<>());
     }
@@ -119,17 +115,8 @@
             String body = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
             String method = exchange.getRequestMethod();
             URI uri = exchange.getRequestURI();
-            Fate fate = trouble.fateOf(method, uri.toString(), body);
-            if (fate == Fate.SILENT) {
-                Thread.sleep(30_000);
-                exchange.close();
-                return;
-            }
+            Fate fate = trouble.fateOf(method, uri.toString());
             Answer answer = fate == Fate.BUSY ? new Answer(503, Map.of()) : answer(method, uri, body);
-            if (fate == Fate.ANSWER_LOST) {
-                exchange.close();
-                return;
-            }
             byte[] bytes = Json.write(answer.body).getBytes(StandardCharsets.UTF_8);
             exchange.getResponseHeaders().add("Content-Type", "application/json");
             exchange.sendResponseHeaders(answer.status, bytes.length);
--- a/review/harness/Worker.java
+++ b/review/harness/Worker.java
@@ -17,7 +17,7 @@
     }
 
     final String id;
-    final ServerSocket listener;
+    private final ServerSocket listener;
     private final Store store;
     private final String service;
     private final String zone;
