List results by their size in bytes, whatever their text

Cause: a page was limited in characters, where the object API limits the bytes of an object. A page that it refused for good was then handled like one that another process may have appended: the log was read again and the same page was appended again, with no item started meanwhile.

Change: sizes are those of the encoding in which a text is stored or sent. Reads are limited in bytes of JSON, a result that does not fit into a message is read from the object API, and relays pass TooLarge on.

--- a/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/operator/FailureExplanation.kt
+++ b/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/operator/FailureExplanation.kt
@@ -53,7 +53,7 @@
     when (failure) {
         is StoreFailure.NotFound -> "${failure.key} does not exist"
         is StoreFailure.Conflict -> "${failure.key} was changed by others at the same time"
-        is StoreFailure.TooLarge -> "the configuration is over ${failure.maximumBytes} bytes"
+        is StoreFailure.TooLarge -> "the configuration is over ${failure.maximumBytes ?: "the maximum number of"} bytes"
         StoreFailure.HistoryGone -> "the object API no longer keeps the changes that were asked for"
         is StoreFailure.Unavailable -> "the object API can't be reached (${failure.cause})"
         is StoreFailure.OutcomeUnknown -> "the answer of the object API was lost (${failure.cause})"
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/store/StoreFailure.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/store/StoreFailure.kt
@@ -13,10 +13,10 @@
         val current: ObjectVersion?,
     ) : StoreFailure
 
-    /** The value is larger than [maximumBytes]. */
+    /** The value is larger than [maximumBytes], or than a limit that the object API does not tell if that is null. */
     public data class TooLarge(
         val key: ObjectKey,
-        val maximumBytes: Int,
+        val maximumBytes: Int? = null,
     ) : StoreFailure
 
     /** The changes since the version of a watch are no longer kept; the objects have to be listed again. */
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ItemProgress.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ItemProgress.kt
@@ -3,6 +3,7 @@
 import tanagerlane.joblog.ItemAttempts
 import tanagerlane.joblog.RawItem
 import tanagerlane.joblog.SavedEvent
+import tanagerlane.joblog.TextSize
 import tanagerlane.streams.AnswerLimits
 import tanagerlane.streams.StreamEvent
 import kotlin.time.Instant
@@ -76,7 +77,7 @@
     /** Returns the events that may be saved, starting at index [first]. */
     fun savableFrom(first: Int): List<SavedEvent> = received.subList(first, savableEventCount).toList()
 
-    private fun sizeOf(data: String): Long = data.length.toLong() + AnswerLimits.EVENT_OVERHEAD_BYTES
+    private fun sizeOf(data: String): Long = TextSize.utf8(data).toLong() + AnswerLimits.EVENT_OVERHEAD_BYTES
 
     companion object {
         /** Maximum size of the events of one item in bytes; the same limit as for a buffered answer. */
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobCallHandler.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobCallHandler.kt
@@ -96,7 +96,7 @@
         val listed =
             resultsAfter(exchange, job, after)
                 ?: return exchange.refuse(notRun(RefusalReason.STORE_UNAVAILABLE), RETRY_AFTER)
-        val page = listed.takeWithinBytes(MAXIMUM_ANSWER_BYTES, RESULT_OVERHEAD_BYTES)
+        val page = listed.takeWithinBytes(MAXIMUM_RESULTS_BYTES, bodyFormat.resultBytes)
         val document = bodyFormat.results(record.items, after + page.size, page)
         exchange.answerJson(OK, Buffer.buffer(document.toByteArray()))
     }
@@ -287,10 +287,9 @@
     private companion object {
         const val OK = 200
         const val ACCEPTED = 202
-        const val MAXIMUM_ANSWER_BYTES = 700_000
 
-        /** Bytes of a result in addition to its text. */
-        const val RESULT_OVERHEAD_BYTES = 100
+        /** Maximum bytes of the results in one answer; the rest of 1 MB is for what stands around them. */
+        const val MAXIMUM_RESULTS_BYTES = 999_000
 
         /** Time limit for a read of results, beside the time for which the caller wants to wait for new ones. */
         val READ_TIMEOUT = 1200.milliseconds
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobRunner.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobRunner.kt
@@ -138,9 +138,10 @@
                     ?.listed
                     ?.drop(query.after)
             logAnswer(from, query, results)
-            val reply =
-                ResultsReply(query.query, results?.takeWithinBytes(MAXIMUM_REPLY_BYTES), isUnconfirmed = !isSure)
-            fleet.send(from, reply)
+            val page = results?.takeWithinBytes(MAXIMUM_REPLY_BYTES, JobStorage::encodedBytes)
+            // The sender of the query reads what does not fit into a message from the object API.
+            val fitting = page?.takeIf { it.sumOf(JobStorage::encodedBytes) <= MAXIMUM_MESSAGE_BYTES }
+            fleet.send(from, ResultsReply(query.query, fitting, isUnconfirmed = !isSure))
         }
     }
 
@@ -494,7 +495,7 @@
     }
 
     private suspend fun appendPage(job: AssignedJob) {
-        val results = job.log.listable(job.unlisted.values).takeWithinBytes(MAXIMUM_PAGE_BYTES)
+        val results = storage.firstPage(job.log.listable(job.unlisted.values))
         val failure = storage.append(job.log.record.job, job.log.pages, results).fold({ null }, { it })
         if (failure == null) {
             job.log = job.log.withPage(results)
@@ -505,7 +506,10 @@
             return
         }
         logger.warn("results not listed job={} page={} cause={}", job.log.record.job, job.log.pages, failure)
-        job.mayBeStale = true
+        // The object API has refused the page for good: no page was appended, and the next one is smaller.
+        if (failure !is StoreFailure.TooLarge) {
+            job.mayBeStale = true
+        }
         delay(WRITE_RETRY_DELAY)
     }
 
@@ -568,8 +572,12 @@
 
         /** Number of unlisted results of a job from which no further items of the job are started. */
         const val MAXIMUM_UNLISTED_RESULTS = 64
-        const val MAXIMUM_PAGE_BYTES = 500_000
-        const val MAXIMUM_REPLY_BYTES = 700_000
+
+        /** Size up to which results are put together in one reply. */
+        const val MAXIMUM_REPLY_BYTES = 1_000_000
+
+        /** Size of the largest reply that is sent; other processes read no messages of over 4 MiB. */
+        const val MAXIMUM_MESSAGE_BYTES = 3_000_000
         val logger = LoggerFactory.getLogger(JobRunner::class.java)
     }
 }
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ResultPages.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ResultPages.kt
@@ -2,19 +2,16 @@
 
 import tanagerlane.joblog.ListedResult
 
-/**
- * Returns as many of the first results as fit into [maximumBytes], but at least one.
- *
- * Each result counts with the length of its text and [overheadBytes].
- */
+/** Returns as many of the first results as fit into [maximumBytes] by [bytesOf], but at least one. */
 internal fun List<ListedResult>.takeWithinBytes(
     maximumBytes: Int,
-    overheadBytes: Int = 0,
+    bytesOf: (ListedResult) -> Int,
 ): List<ListedResult> {
-    var bytes = 0
-    return takeWhile { result ->
-        val isFirst = bytes == 0
-        bytes += result.text.length + overheadBytes
-        isFirst || bytes <= maximumBytes
-    }
+    var bytes = 0L
+    val fitting =
+        takeWhile { result ->
+            bytes += bytesOf(result)
+            bytes <= maximumBytes
+        }
+    return fitting.ifEmpty { take(1) }
 }
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/StoreRelay.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/StoreRelay.kt
@@ -163,6 +163,7 @@
                 is StoreFailure.NotFound -> RelayedOutcome.NOT_FOUND
                 is StoreFailure.Conflict -> RelayedOutcome.CONFLICT
                 is StoreFailure.OutcomeUnknown -> RelayedOutcome.UNKNOWN
+                is StoreFailure.TooLarge -> RelayedOutcome.TOO_LARGE
                 else -> RelayedOutcome.NOT_DONE
             }
         return RelayedReply(call.call, outcome, (failure as? StoreFailure.Conflict)?.current?.number ?: 0, emptyList())
@@ -239,6 +240,7 @@
             RelayedOutcome.NOT_FOUND -> Err(StoreFailure.NotFound(ObjectKey(path.removeSuffix("/"))))
             RelayedOutcome.CONFLICT -> Err(StoreFailure.Conflict(ObjectKey(path), ObjectVersion(reply.version)))
             RelayedOutcome.NOT_DONE -> Err(StoreFailure.Unavailable("call not made by relay $relay"))
+            RelayedOutcome.TOO_LARGE -> Err(StoreFailure.TooLarge(ObjectKey(path)))
             RelayedOutcome.UNKNOWN -> Err(StoreFailure.OutcomeUnknown("outcome unknown to relay $relay"))
         }
 
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/EndlessAnswerTest.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/EndlessAnswerTest.kt
@@ -108,7 +108,7 @@
         }
 
         test("an answer of several MB is forwarded completely") {
-            val target = FakeTarget(vertx, "t1", events = 4, eventBytes = 500_000).start()
+            val target = FakeTarget(vertx, "t1", events = 4, eventFill = 500_000).start()
             val (_, port) = startEntry(listOf(target))
             listOf("/calls/1", "/streams/1").map { path -> send(port, "POST", path, "b$path").body().length } shouldBe
                 List(2) { (1..4).sumOf { "id: $it\ndata: event $it\n\n".length + 500_000 } }
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeDeployment.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeDeployment.kt
@@ -125,7 +125,7 @@
             configuration = ViewSource("config") { Ok(configuration()) },
             targets = ViewSource("targets") { Ok(targetOf(it.name, it.value?.toText().orEmpty())) },
             removals = ViewSource("removals") { Ok(HostRemoval(HostName(it.name), isDone = false)) },
-            jobs = JobBodyFormat(items = { Ok(itemsOf(it.toText())) }, results = ::resultsOf),
+            jobs = JobBodyFormat(items = { Ok(itemsOf(it.toText())) }, results = ::resultsOf, resultBytes = { 40 }),
             sharedParts = { header -> header.split(',').dropLast(1).map { PromptPart(it.substringBefore(':')) } },
             classify = ::classify,
             reportDrained = { true },
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeTarget.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeTarget.kt
@@ -15,7 +15,8 @@
  *
  * @property events number of events of each stream
  * @property pauseMilliseconds time between two events, in milliseconds
- * @property eventBytes number of filler bytes added to each event
+ * @property eventFill number of filler characters added to each event
+ * @property filler the filler character
  * @property restartMilliseconds time from a crash until the target listens again, in milliseconds
  * @property listenerMilliseconds time for which the target still accepts connections after a crash, in milliseconds
  */
@@ -24,9 +25,10 @@
     val name: String,
     private val events: Int = 10,
     private val pauseMilliseconds: Long = 5,
-    private val eventBytes: Int = 0,
+    private val eventFill: Int = 0,
     private val restartMilliseconds: Long = 500,
     private val listenerMilliseconds: Long = 0,
+    private val filler: String = "x",
 ) {
     /** Requests received, each as its id and the event after which its stream resumes. */
     val requests = CopyOnWriteArrayList<String>()
@@ -185,7 +187,7 @@
             }
 
             else -> {
-                response.write("id: $number\ndata: event $number${"x".repeat(eventBytes)}\n\n")
+                response.write("id: $number\ndata: event $number${filler.repeat(eventFill)}\n\n")
                 vertx.setTimer(pauseMilliseconds) { send(response, number + 1) }
             }
         }
--- a/tanagerlane-runtime/src/main/kotlin/tanagerlane/runtime/HttpObjectStore.kt
+++ b/tanagerlane-runtime/src/main/kotlin/tanagerlane/runtime/HttpObjectStore.kt
@@ -161,7 +161,7 @@
     ): StoreFailure =
         when (response.statusCode()) {
             PRECONDITION_FAILED -> StoreFailure.Conflict(key, versionOrNull(response))
-            TOO_LARGE -> StoreFailure.TooLarge(key, response.getHeader(MAXIMUM_BYTES_HEADER)?.toIntOrNull() ?: 0)
+            TOO_LARGE -> StoreFailure.TooLarge(key, response.getHeader(MAXIMUM_BYTES_HEADER)?.toIntOrNull())
             UNAVAILABLE -> StoreFailure.Unavailable("status ${response.statusCode()}")
             else -> StoreFailure.OutcomeUnknown("status ${response.statusCode()}")
         }
