Forward requests whose paths the platform's calls have as well

What callers saw: a service whose route has the prefix "/" lost some of its requests.

Cause: method and path alone decided that a request is a call of the platform, before the host and the configuration were looked at, and the address for callers answered readiness checks too.

Change: readiness checks have their own address; where it is the one for callers, a path that a route has is a request. A job stays in reach when its route is changed or removed.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerCall.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerCall.kt
@@ -8,23 +8,28 @@
     /** Forwards the request to a target, or submits a job if the route accepts jobs. */
     public data object Forward : CallerCall
 
+    /** Call about [job], unless a route has the path of the call. */
+    public sealed interface JobCall : CallerCall {
+        public val job: JobId
+    }
+
     /** Reads the results of [job] that follow position [after]. */
     public data class ReadResults(
-        val job: JobId,
+        override val job: JobId,
         val after: Int,
-    ) : CallerCall
+    ) : JobCall
 
     /** Reads the body of [item] of [job]. */
     public data class ReadItem(
-        val job: JobId,
+        override val job: JobId,
         val item: RequestId,
-    ) : CallerCall
+    ) : JobCall
 
     /** Ends [job]. */
     public data class EndJob(
-        val job: JobId,
-    ) : CallerCall
+        override val job: JobId,
+    ) : JobCall
 
-    /** Asks whether this process accepts new callers. */
+    /** Asks whether this process accepts new callers; a request like any other where callers are served. */
     public data object Readiness : CallerCall
 }
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerExchange.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerExchange.kt
@@ -63,6 +63,9 @@
         return arrivedAt + if (requested == null) timeout else minOf(requested, timeout)
     }
 
+    /** Returns the time until which a read of a job must be answered; callers do not wait much longer. */
+    fun readDeadline(): Instant = arrivedAt + wait + READ_TIMEOUT
+
     /** Called with the cause when the exchange ends before the answer is complete. */
     var onAborted: (cause: String) -> Unit = {}
 
@@ -151,5 +154,8 @@
 
     private companion object {
         const val MAXIMUM_WAIT_MILLISECONDS = 30_000L
+
+        /** Time limit for a read of a job, in addition to the time for which the caller wants to wait for results. */
+        val READ_TIMEOUT = 1200.milliseconds
     }
 }
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerService.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerService.kt
@@ -1,7 +1,8 @@
 package tanagerlane.direct
 
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.getOrElse
 import io.vertx.core.Vertx
-import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpConnection
 import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.HttpServerOptions
@@ -11,11 +12,11 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
 import tanagerlane.limits.SharedRates
 import tanagerlane.model.RefusalReason
 import tanagerlane.model.RunState
-import tanagerlane.model.WorkspaceName
 import tanagerlane.serving.Entitlement
 import tanagerlane.serving.ProcessorAdmission
 import tanagerlane.serving.RouteKind
@@ -34,6 +35,7 @@
     private val online: OnlineHandler,
     private val promptGuard: PromptGuard,
     private val jobs: JobCallHandler,
+    private val jobLookup: JobLookup,
     private val rates: SharedRates,
     private val metrics: DirectMetrics,
     private val state: ProcessState,
@@ -49,13 +51,30 @@
     /** Whether a connection is still closing because its caller has not yet read the end of an answer. */
     val hasUnreadAnswers: Boolean get() = closingConnections.isNotEmpty()
 
-    /** Listens for callers on [address], and for load balancer readiness checks on [readyAddress] if different. */
+    /**
+     * Listens for callers on [address], and for load balancer readiness checks on [readyAddress].
+     *
+     * If both are the same address, a readiness check is a request whose path no route has.
+     */
     suspend fun listen(
         address: String,
         readyAddress: String?,
     ) {
-        listenOn(address)
-        readyAddress?.takeIf { it != address }?.let { listenOn(it) }
+        val hasOwnReadyAddress = readyAddress != null && readyAddress != address
+        listenOn(address) { request ->
+            val call = callOf(request)
+            val isCheck = call == CallerCall.Readiness && !hasOwnReadyAddress && routeFor(request) == null
+            if (isCheck) answerCheck(request) else handle(request, call)
+        }
+        if (hasOwnReadyAddress) {
+            listenOn(readyAddress) { request ->
+                if (callOf(request) == CallerCall.Readiness) {
+                    answerCheck(request)
+                } else {
+                    request.response().setStatusCode(NOT_FOUND).end()
+                }
+            }
+        }
     }
 
     /** Closes the connections of callers that have no open request. */
@@ -86,7 +105,10 @@
         )
     }
 
-    private suspend fun listenOn(address: String) {
+    private suspend fun listenOn(
+        address: String,
+        handler: (HttpServerRequest) -> Unit,
+    ) {
         val parsed = requireNotNull(WireAddress.parse(address)) { "address is not IP:port: $address" }
         vertx
             .createHttpServer(HttpServerOptions().setMaxHeaderSize(MAXIMUM_HEADER_BYTES).setTcpNoDelay(true))
@@ -96,19 +118,28 @@
                     connections.remove(connection)
                     closingConnections.remove(connection)
                 }
-            }.requestHandler(::handle)
+            }.requestHandler(handler)
             .listen(parsed.port, parsed.host)
             .coAwait()
     }
 
-    private fun handle(request: HttpServerRequest) {
+    private fun callOf(request: HttpServerRequest): CallerCall {
         val query = request.params().entries().associate { it.key to it.value }
-        val call = deployment.classify(request.method().name(), request.path().orEmpty(), query)
-        if (call == CallerCall.Readiness) {
-            val status = if (state.isReady()) OK else SERVICE_UNAVAILABLE
-            request.response().setStatusCode(status).end()
-            return
-        }
+        return deployment.classify(request.method().name(), request.path().orEmpty(), query)
+    }
+
+    private fun routeFor(request: HttpServerRequest): ServingRoute? =
+        state.configuration()?.routeFor(request.authority()?.host().orEmpty(), request.path().orEmpty())
+
+    private fun answerCheck(request: HttpServerRequest) {
+        val status = if (state.isReady()) OK else SERVICE_UNAVAILABLE
+        request.response().setStatusCode(status).end()
+    }
+
+    private fun handle(
+        request: HttpServerRequest,
+        call: CallerCall,
+    ) {
         val limit = state.configuration()?.limits?.maximumBodyBytes ?: DEFAULT_MAXIMUM_BODY_BYTES
         val exchange = CallerExchange(request, deployment.headers, now(), limit, state.isStopping)
         open += exchange
@@ -152,25 +183,22 @@
             return refuse(exchange, RefusalReason.SHUTTING_DOWN, STOP_RETRY_AFTER)
         }
         when (call) {
-            is CallerCall.ReadResults -> jobCall(exchange) { jobs.readResults(exchange, call.job, call.after, it) }
-            is CallerCall.ReadItem -> jobCall(exchange) { jobs.readItem(exchange, call.job, call.item, it) }
-            is CallerCall.EndJob -> jobCall(exchange) { jobs.end(exchange, call.job, it) }
-            CallerCall.Forward -> forward(exchange)
-            CallerCall.Readiness -> exchange.answer(OK, emptyMap<String, String>().entries, Buffer.buffer())
+            is CallerCall.JobCall -> serveJobCall(exchange, call)
+            CallerCall.Forward, CallerCall.Readiness -> forward(exchange)
         }
     }
 
-    private suspend fun jobCall(
+    private suspend fun serveJobCall(
         exchange: CallerExchange,
-        serve: suspend (WorkspaceName?) -> Unit,
+        call: CallerCall.JobCall,
     ) {
         val configuration = state.configuration() ?: return refuse(exchange, RefusalReason.CONFIGURATION_STALE)
-        val workspace = exchange.key?.let { configuration.keys[it] }
-        if (workspace == null && configuration.needsKeys) {
-            val reason = if (state.isCurrent()) RefusalReason.NO_KEY else RefusalReason.CONFIGURATION_STALE
-            return refuse(exchange, reason)
-        }
-        serve(workspace)
+        val found =
+            withTimeoutOrNull(exchange.readDeadline() - now()) {
+                jobLookup.find(call.job, exchange, configuration, state.isCurrent())
+            } ?: Err(RefusalReason.STORE_UNAVAILABLE)
+        val record = found.getOrElse { return refuse(exchange, it) }
+        if (record == null) forward(exchange) else jobs.serve(exchange, call, record)
     }
 
     private suspend fun forward(exchange: CallerExchange) {
@@ -235,6 +263,7 @@
 
     private companion object {
         const val OK = 200
+        const val NOT_FOUND = 404
         const val SERVICE_UNAVAILABLE = 503
         const val MAXIMUM_HEADER_BYTES = 65_536
         const val DEFAULT_MAXIMUM_BODY_BYTES = 4 * 1024 * 1024
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
@@ -177,6 +177,7 @@
             online = onlineHandler,
             promptGuard = promptGuard,
             jobs = jobHandler,
+            jobLookup = JobLookup(storage, jobIndex, Clock.System::now),
             rates = rates,
             metrics = metrics,
             state =
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobCallHandler.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobCallHandler.kt
@@ -71,30 +71,39 @@
         )
     }
 
-    /** Answers with the results of [job] from position [after] on. */
-    suspend fun readResults(
+    /** Handles [call], which is about the job of [record]. */
+    suspend fun serve(
         exchange: CallerExchange,
-        job: JobId,
+        call: CallerCall.JobCall,
+        record: JobRecord,
+    ): Unit =
+        when (call) {
+            is CallerCall.ReadResults -> readResults(exchange, record, call.after)
+            is CallerCall.ReadItem -> readItem(exchange, record, call.item)
+            is CallerCall.EndJob -> end(exchange, record.job)
+        }
+
+    /** Answers with the results of a job from position [after] on. */
+    private suspend fun readResults(
+        exchange: CallerExchange,
+        record: JobRecord,
         after: Int,
-        workspace: WorkspaceName?,
     ) {
         val isAnswered =
-            withTimeoutOrNull(exchange.wait + READ_TIMEOUT) { answerResults(exchange, job, after, workspace) }
+            withTimeoutOrNull(exchange.readDeadline() - now()) { answerResults(exchange, record, after) }
         if (isAnswered == null) {
-            logger.warn("results not read job={} cause=not known within {}", job, exchange.wait + READ_TIMEOUT)
+            logger.warn("results not read job={} cause=not known in time wait={}", record.job, exchange.wait)
             exchange.refuse(notRun(RefusalReason.STORE_UNAVAILABLE), RETRY_AFTER)
         }
     }
 
     private suspend fun answerResults(
         exchange: CallerExchange,
-        job: JobId,
+        record: JobRecord,
         after: Int,
-        workspace: WorkspaceName?,
     ) {
-        val record = ownRecord(exchange, job, workspace) ?: return
         val listed =
-            resultsAfter(exchange, job, after)
+            resultsAfter(exchange, record.job, after)
                 ?: return exchange.refuse(notRun(RefusalReason.STORE_UNAVAILABLE), RETRY_AFTER)
         val page = listed.takeWithinBytes(MAXIMUM_RESULTS_BYTES, bodyFormat.resultBytes)
         val document = bodyFormat.results(record.items, after + page.size, page)
@@ -102,16 +111,14 @@
     }
 
     /** Answers with the request body of [item]. */
-    suspend fun readItem(
+    private suspend fun readItem(
         exchange: CallerExchange,
-        job: JobId,
+        record: JobRecord,
         item: RequestId,
-        workspace: WorkspaceName?,
     ) {
-        val record = ownRecord(exchange, job, workspace) ?: return
         val items =
             storage.items(record).getOrElse { failure ->
-                logger.warn("items not read job={} cause={}", job, failure)
+                logger.warn("items not read job={} cause={}", record.job, failure)
                 return exchange.refuse(notRun(RefusalReason.STORE_UNAVAILABLE), RETRY_AFTER)
             }
         val found = items.firstOrNull { it.id == item }
@@ -123,12 +130,10 @@
     }
 
     /** Ends [job] on behalf of its client. */
-    suspend fun end(
+    private suspend fun end(
         exchange: CallerExchange,
         job: JobId,
-        workspace: WorkspaceName?,
     ) {
-        ownRecord(exchange, job, workspace) ?: return
         val failure = storage.end(job, wallClock()).fold({ null }, { it })
         logger.info("job end decided job={} failure={}", job, failure)
         if (failure == null) {
@@ -177,39 +182,6 @@
     ): Result<Unit, CallerRefusal> =
         if (accepted.workspace == record.workspace) Ok(Unit) else Err(notRun(RefusalReason.NOT_FOUND))
 
-    /** Returns the record of [job] if [workspace] may read it; otherwise refuses the call and returns null. */
-    private suspend fun ownRecord(
-        exchange: CallerExchange,
-        job: JobId,
-        workspace: WorkspaceName?,
-    ): JobRecord? {
-        val record = jobIndex.record(job) ?: storedRecord(exchange, job) ?: return null
-        if (jobIndex.isFinished(job) && record.expiresAt <= wallClock()) {
-            logger.info("job expired job={} expired_at={}", job, record.expiresAt)
-            exchange.refuse(notRun(RefusalReason.NOT_FOUND))
-            return null
-        }
-        if (record.workspace != workspace) {
-            logger.info("job belongs to another workspace job={} asked_by={}", job, workspace)
-            exchange.refuse(notRun(RefusalReason.NOT_FOUND))
-            return null
-        }
-        jobIndex.add(record)
-        return record
-    }
-
-    private suspend fun storedRecord(
-        exchange: CallerExchange,
-        job: JobId,
-    ): JobRecord? =
-        storage.record(job).getOrElse { failure ->
-            val isMissing = failure is StoreFailure.NotFound
-            val reason = if (isMissing) RefusalReason.NOT_FOUND else RefusalReason.STORE_UNAVAILABLE
-            logger.info("job not found job={} failure={}", job, failure)
-            exchange.refuse(notRun(reason), RETRY_AFTER)
-            null
-        }
-
     private suspend fun resultsAfter(
         exchange: CallerExchange,
         job: JobId,
@@ -290,9 +262,6 @@
 
         /** Maximum bytes of the results in one answer; the rest of 1 MB is for what stands around them. */
         const val MAXIMUM_RESULTS_BYTES = 999_000
-
-        /** Time limit for a read of results, beside the time for which the caller wants to wait for new ones. */
-        val READ_TIMEOUT = 1200.milliseconds
         val JOB_NAME_PATTERN = Regex("[A-Za-z0-9._-]{1,128}")
         val NO_HEADERS = emptyMap<String, String>().entries
         val RETRY_AFTER = 300.milliseconds
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeDeployment.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeDeployment.kt
@@ -34,6 +34,7 @@
 import tanagerlane.store.ObjectKey
 import tanagerlane.store.ObjectStore
 import java.nio.file.Path
+import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -46,19 +47,41 @@
 ) {
     val store = MemoryObjectStore()
     private val service = ServiceName("models")
+    private val defaultRoutes =
+        listOf(
+            route("/streams/", RouteKind.STREAM, attempts = 2, resumable = true),
+            route("/once/", RouteKind.STREAM, attempts = 1, resumable = false),
+            route("/calls/", RouteKind.SAFE, attempts = 2, resumable = false),
+            route("/jobs/", RouteKind.BATCH, attempts = 2, resumable = true),
+        )
     private val workspace = WorkspaceName("crews")
 
+    /** Configurations by revision; the object of the configuration holds the revision. */
+    private val configurations = ConcurrentHashMap(mapOf(1L to configuration(1, defaultRoutes)))
+
     /** Writes the configuration and registers the targets. */
     suspend fun prepare() {
-        store.put(ObjectKey("config/main"), Payload.of("1"), null)
+        store.put(CONFIGURATION, Payload.of("1"), null)
         targets.forEach { store.put(ObjectKey("targets/${it.name}"), Payload.of("${it.port}"), null) }
     }
 
+    /** Puts a configuration in force that has the routes which [change] makes of those at the start. */
+    suspend fun changeRoutes(
+        keys: Set<String> = setOf("good-key"),
+        change: (List<ServingRoute>) -> List<ServingRoute>,
+    ) {
+        val current = store.get(CONFIGURATION).getOrElse { error("$it") }
+        val revision = current.value.toText().toLong() + 1
+        configurations[revision] = configuration(revision, change(defaultRoutes), keys)
+        store.put(CONFIGURATION, Payload.of("$revision"), current.version).getOrElse { error("$it") }
+    }
+
     /**
      * Starts a process of [role]; returns it with its port for callers.
      *
      * @param ownStore client of the object API that the process uses
      * @param ports ports for callers, for other processes and for operators
+     * @param readyPort port for readiness checks, or null if they come to the port for callers
      */
     suspend fun start(
         name: String,
@@ -68,6 +91,7 @@
         dataFolder: Path? = null,
         vertx: Vertx = this.vertx,
         stopTime: Duration = 8.seconds,
+        readyPort: Int? = null,
     ): StartedDaemon {
         val settings =
             SettingsReader
@@ -77,6 +101,7 @@
                     """
                     role = "$role"
                     callerAddress = "127.0.0.1:${ports[0]}"
+                    ${readyPort?.let { "readyAddress = '127.0.0.1:$it'" }.orEmpty()}
                     stopTime = "$stopTime"
                     [host]
                     name = "$name"
@@ -122,7 +147,7 @@
                     wait = "Wait-Ms",
                     promptParts = "Prompt-Prefix",
                 ),
-            configuration = ViewSource("config") { Ok(configuration()) },
+            configuration = ViewSource("config") { Ok(configurations.getValue(it.value?.toText()?.toLong() ?: 1)) },
             targets = ViewSource("targets") { Ok(targetOf(it.name, it.value?.toText().orEmpty())) },
             removals = ViewSource("removals") { Ok(HostRemoval(HostName(it.name), isDone = false)) },
             jobs = JobBodyFormat(items = { Ok(itemsOf(it.toText())) }, results = ::resultsOf, resultBytes = { 40 }),
@@ -162,29 +187,28 @@
         }.also { check(method.isNotEmpty()) }
     }
 
-    private fun configuration() =
-        ServingConfiguration(
-            revision = Revision(1),
-            routes =
-                listOf(
-                    route("/streams/", RouteKind.STREAM, attempts = 2, resumable = true),
-                    route("/once/", RouteKind.STREAM, attempts = 1, resumable = false),
-                    route("/calls/", RouteKind.SAFE, attempts = 2, resumable = false),
-                    route("/jobs/", RouteKind.BATCH, attempts = 2, resumable = true),
-                ),
-            workspaces = mapOf(workspace to ServingWorkspace(workspace, rate, priority = null)),
-            keys = mapOf("good-key" to workspace),
-            limits = CallerLimits(maximumBodyBytes = 100_000),
-        )
+    private fun configuration(
+        revision: Long,
+        routes: List<ServingRoute>,
+        keys: Set<String> = setOf("good-key"),
+    ) = ServingConfiguration(
+        revision = Revision(revision),
+        routes = routes,
+        workspaces = mapOf(workspace to ServingWorkspace(workspace, rate, priority = null)),
+        keys = keys.associateWith { workspace },
+        limits = CallerLimits(maximumBodyBytes = 100_000),
+    )
 
-    private fun route(
+    /** Returns a route of the service of all targets. */
+    fun route(
         prefix: String,
         kind: RouteKind,
-        attempts: Int,
-        resumable: Boolean,
+        attempts: Int = 2,
+        resumable: Boolean = false,
+        host: String = "localhost",
     ) = ServingRoute(
-        name = prefix,
-        host = "localhost",
+        name = "$host$prefix",
+        host = host,
         pathPrefix = prefix,
         kind = kind,
         services = listOf(WeightedService(service, 1)),
@@ -201,6 +225,10 @@
             },
     )
 
+    private companion object {
+        val CONFIGURATION = ObjectKey("config/main")
+    }
+
     /** A process and its port for callers. */
     data class StartedDaemon(
         val daemon: DirectDaemon,
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/RawCaller.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/RawCaller.kt
@@ -16,12 +16,16 @@
         id: String,
         headers: String = "",
         body: String = "",
+        method: String = "POST",
+        host: String = "localhost",
+        key: String? = "good-key",
     ): ReceivedAnswer? =
         Socket("127.0.0.1", port).use { socket ->
             socket.soTimeout = READ_TIMEOUT_MILLISECONDS
             val head =
-                "POST $path HTTP/1.1\r\nHost: localhost\r\nAttempt-Id: $id\r\nCredential: good-key\r\n$headers" +
-                    "Content-Length: ${body.length}\r\n\r\n$body"
+                "$method $path HTTP/1.1\r\nHost: $host\r\nAttempt-Id: $id\r\n" +
+                    key?.let { "Credential: $it\r\n" }.orEmpty() +
+                    "${headers}Content-Length: ${body.length}\r\n\r\n$body"
             socket.getOutputStream().write(head.toByteArray())
             receive(socket)
         }
