Decide once whose a job is, so that its owner can read and end it

Cause: the owner was derived twice, on submission from the route, which grants no workspace if it is open, and on reads from the key alone.

The owner is the workspace of the key that came with the submission, recorded with the job; reads, ends and repeats compare with the record, so a route that becomes open or closed and a key that is replaced change nothing. A job without an owner can be read by everybody who knows its name.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/serving/Entitlement.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/serving/Entitlement.kt
@@ -41,7 +41,7 @@
                 return Granted(route, workspace = null)
             }
             val workspace =
-                key?.let { configuration.keys[it] }?.let { configuration.workspaces[it] }
+                configuration.workspaceOf(key)?.let { configuration.workspaces[it] }
                     ?: return denied(RefusalReason.NO_KEY, isCurrent)
             return Granted(route, workspace)
         }
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/serving/ServingConfiguration.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/serving/ServingConfiguration.kt
@@ -21,6 +21,9 @@
     /** Whether requests need an API key on routes that are not open. */
     public val needsKeys: Boolean get() = workspaces.isNotEmpty()
 
+    /** Returns the workspace that holds the API key [key], or null if the key is missing or unknown. */
+    public fun workspaceOf(key: String?): WorkspaceName? = key?.let { keys[it] }
+
     /** Returns the route of [host] whose prefix is the longest match for [path], or null if none matches. */
     public fun routeFor(
         host: String,
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerService.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerService.kt
@@ -217,7 +217,7 @@
     ) {
         val jobTerms = route.job
         if (route.kind == RouteKind.BATCH && jobTerms != null && exchange.method == HttpMethod.POST) {
-            return jobs.submit(exchange, route, jobTerms, workspace?.name)
+            return jobs.submit(exchange, route, jobTerms, state.configuration()?.workspaceOf(exchange.key))
         }
         val id = exchange.id?.text ?: return refuse(exchange, RefusalReason.MALFORMED)
         val parts = exchange.promptParts?.let(deployment.sharedParts).orEmpty()
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobCallHandler.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobCallHandler.kt
@@ -19,6 +19,7 @@
 import tanagerlane.model.RequestId
 import tanagerlane.model.RunState
 import tanagerlane.model.WorkspaceName
+import tanagerlane.serving.JobOwnership
 import tanagerlane.serving.JobTerms
 import tanagerlane.serving.ServingRoute
 import tanagerlane.store.StoreFailure
@@ -41,7 +42,7 @@
     private val now: () -> Instant,
     private val wallClock: () -> Instant,
 ) {
-    /** Accepts or refuses a job that was submitted on [route]. */
+    /** Accepts or refuses a job that was submitted on [route]; [workspace] owns it, or nobody if that is null. */
     suspend fun submit(
         exchange: CallerExchange,
         route: ServingRoute,
@@ -180,7 +181,11 @@
         accepted: JobRecord,
         record: JobRecord,
     ): Result<Unit, CallerRefusal> =
-        if (accepted.workspace == record.workspace) Ok(Unit) else Err(notRun(RefusalReason.NOT_FOUND))
+        if (JobOwnership.isRepeat(accepted.workspace, record.workspace)) {
+            Ok(Unit)
+        } else {
+            Err(notRun(RefusalReason.NOT_FOUND))
+        }
 
     private suspend fun resultsAfter(
         exchange: CallerExchange,
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobLookup.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobLookup.kt
@@ -9,6 +9,7 @@
 import tanagerlane.model.JobId
 import tanagerlane.model.RefusalReason
 import tanagerlane.serving.JobCallRecipient
+import tanagerlane.serving.JobOwnership
 import tanagerlane.serving.ServingConfiguration
 import tanagerlane.store.StoreFailure
 import kotlin.time.Instant
@@ -34,9 +35,13 @@
         if (recipient == JobCallRecipient.ROUTE) {
             return Ok(null)
         }
-        val workspace = exchange.key?.let { configuration.keys[it] }
-        if (workspace == null && configuration.needsKeys) {
-            return Err(if (isCurrent) RefusalReason.NO_KEY else RefusalReason.CONFIGURATION_STALE)
+        val caller = configuration.workspaceOf(exchange.key)
+        if (known == null && !JobOwnership.mayLookUp(caller, configuration, exchange.host)) {
+            return when {
+                recipient == JobCallRecipient.SYSTEM_IF_STORED -> Ok(null)
+                isCurrent -> Err(RefusalReason.NO_KEY)
+                else -> Err(RefusalReason.CONFIGURATION_STALE)
+            }
         }
         val record =
             known ?: storage.record(job).getOrElse { failure ->
@@ -51,9 +56,9 @@
             logger.info("job expired job={} expired_at={}", job, record.expiresAt)
             return Err(RefusalReason.NOT_FOUND)
         }
-        if (record.workspace != workspace) {
-            logger.info("job belongs to another workspace job={} asked_by={}", job, workspace)
-            return Err(RefusalReason.NOT_FOUND)
+        JobOwnership.denialOf(record.workspace, caller, configuration, isCurrent)?.let { reason ->
+            logger.info("job call denied job={} owner={} caller={}", job, record.workspace, caller)
+            return Err(reason)
         }
         jobIndex.add(record)
         return Ok(record)
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeTarget.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeTarget.kt
@@ -33,6 +33,9 @@
     /** Requests received, each as its id and the event after which its stream resumes. */
     val requests = CopyOnWriteArrayList<String>()
 
+    /** Workspaces of the requests received, or null for each request without one. */
+    val workspaces = CopyOnWriteArrayList<String?>()
+
     /** Event after which streams are cut off, in the middle of the next event, or null. */
     @Volatile
     var breaksAfter: Int? = null
@@ -99,6 +102,7 @@
         val id = request.getHeader("Attempt-Id")
         val after = request.getHeader("Last-Event-Id")?.toInt() ?: 0
         requests += "$id after $after"
+        workspaces += request.getHeader("Tenant")
         val response = request.response().putHeader("Attempt-Id", id).putHeader("Server-Stamp", name)
         val parts =
             request
