--- a/tanagerlane-core/src/main/kotlin/tanagerlane/places/DirectTarget.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/places/DirectTarget.kt
@@ -3,6 +3,7 @@
 import tanagerlane.model.FailureDomain
 import tanagerlane.model.ServiceName
 import tanagerlane.model.TargetName
+import kotlin.time.Duration
 
 /**
  * One incarnation of a target that processes call directly.
@@ -10,6 +11,7 @@
  * @property address IP address and port
  * @property places number of requests that it runs concurrently
  * @property leaving whether it is shutting down and accepts no new requests
+ * @property coldTime time for which it stays cold, as of its registration
  */
 public data class DirectTarget(
     val name: TargetName,
@@ -18,4 +20,5 @@
     val failureDomain: FailureDomain,
     val places: Int,
     val leaving: Boolean = false,
+    val coldTime: Duration = Duration.ZERO,
 )
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/places/LoadBalancer.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/places/LoadBalancer.kt
@@ -100,10 +100,17 @@
         service: ServiceName,
         tried: Set<TargetName>,
         now: Instant,
+    ): Placement = place(PlacementRequest(service, tried), now)
+
+    /** Selects a target for the online request [request]. */
+    public fun place(
+        request: PlacementRequest,
+        now: Instant,
     ): Placement =
         synchronized(lock) {
-            val candidates = selectable[service] ?: return Placement.NoTarget
-            val untried = candidates.filter { it.name !in tried }.ifEmpty { candidates }
+            val candidates =
+                selectable[request.service].orEmpty().filter(request.mayUse).ifEmpty { return Placement.NoTarget }
+            val untried = candidates.filter { it.name !in request.tried }.ifEmpty { candidates }
             val healthy = untried.filterNot { isInBackoff(it.name, now) }.ifEmpty { untried }
             selections++
             val best = healthy.map { ranked(it, now) }.minWith(RankedTarget.BEST_FIRST)
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/serving/ServingConfiguration.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/serving/ServingConfiguration.kt
@@ -1,12 +1,14 @@
 package tanagerlane.serving
 
 import tanagerlane.model.Revision
+import tanagerlane.model.ServiceName
 import tanagerlane.model.WorkspaceName
 
 /**
  * The configuration that operators have set, at one revision.
  *
  * @property keys workspaces by API key
+ * @property services settings of services, by name; a service may have none
  */
 public data class ServingConfiguration(
     val revision: Revision,
@@ -14,6 +16,7 @@
     val workspaces: Map<WorkspaceName, ServingWorkspace>,
     val keys: Map<String, WorkspaceName>,
     val limits: CallerLimits,
+    val services: Map<ServiceName, ServiceSettings> = emptyMap(),
 ) {
     private val routesByHost: Map<String, List<ServingRoute>> =
         routes.groupBy { it.host }.mapValues { (_, routes) -> routes.sortedByDescending { it.pathPrefix.length } }
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
@@ -39,9 +39,7 @@
 import tanagerlane.model.HostName
 import tanagerlane.model.Incarnation
 import tanagerlane.model.PromptPart
-import tanagerlane.places.DirectTarget
 import tanagerlane.places.LoadBalancer
-import tanagerlane.places.TargetList
 import tanagerlane.quarantine.PromptQuarantine
 import tanagerlane.runtime.MonotonicClock
 import tanagerlane.runtime.OperatorServer
@@ -97,9 +95,8 @@
     private val resultsClient = ResultsClient(fleet::send)
     private val membership = Membership(deployment.store, fleet, clock::now)
     private val decodedConfigurations = DecodedObjects(deployment.configuration)
-    private val decodedTargets = DecodedObjects(deployment.targets)
     private val decodedRemovals = DecodedObjects(deployment.removals)
-    private var targets = TargetList()
+    private val targets = TargetDirectory(deployment.targets, loadBalancer, targetClient, clock::now)
     private var configuration: ServingConfiguration? = null
     private var isLeaving = false
     private var stopPlan: StopPlan? = null
@@ -110,7 +107,7 @@
 
     private val configurationSynchronizer =
         synchronizer(deployment.configuration.kind, CONFIGURATION_TIMES, ::applyConfiguration)
-    private val targetSynchronizer = synchronizer(deployment.targets.kind, TARGET_TIMES, ::applyTargets)
+    private val targetSynchronizer = synchronizer(deployment.targets.kind, TARGET_TIMES, targets::update)
     private val jobSynchronizer = synchronizer(JobStorage.JOBS_KIND, JOB_TIMES, ::applyJobs)
     private val memberSynchronizer = synchronizer(Membership.KIND, MEMBER_TIMES, membership::update)
     private val removalSynchronizer = synchronizer(deployment.removals.kind, REMOVAL_TIMES, ::applyRemovals)
@@ -151,16 +148,19 @@
             wallClock = Clock.System::now,
             onLoadChanged = placeReports::requestReport,
         )
+    private val answerForwarder =
+        AnswerForwarder(loadBalancer, deployment.headers, promptGuard, metrics, clock::now) {
+            processorDelay.at(clock.now())
+        }
     private val onlineHandler =
         OnlineHandler(
             loadBalancer,
             targetClient,
             headers,
-            deployment.headers,
+            answerForwarder,
             promptGuard,
             metrics,
             clock::now,
-            { processorDelay.at(clock.now()) },
             placeReports::requestReport,
         )
     private val jobHandler =
@@ -190,7 +190,7 @@
                     configuration = ::callersConfiguration,
                     isCurrent = ::isCurrent,
                     entries = { fleet.entries },
-                    isReady = { !isLeaving && callersConfiguration() != null && targets.listed.isNotEmpty() },
+                    isReady = { !isLeaving && callersConfiguration() != null && targets.size > 0 },
                     isStopping = { isLeaving },
                     acceptsRequests = { stopPlan?.acceptsRequests(clock.now()) ?: true },
                     processorDelay = { processorDelay.at(clock.now()) },
@@ -321,7 +321,7 @@
         while (true) {
             delay(TICK_INTERVAL)
             fleet.detectLostPeers()
-            updateUsableTargets()
+            targets.expire()
         }
     }
 
@@ -383,35 +383,6 @@
         runner.requestSchedulingPass()
     }
 
-    private fun applyTargets(view: ObjectView) {
-        val decoded = decodedTargets.decode(view)
-        val updated = targets.updated(decoded, clock.now())
-        if (updated.listed != targets.listed) {
-            logChanges(updated.listed.values, view)
-        }
-        targets = updated
-        updateUsableTargets()
-    }
-
-    private fun logChanges(
-        listed: Collection<DirectTarget>,
-        view: ObjectView,
-    ) {
-        val before = targets.listed.values.toSet()
-        val added =
-            listed
-                .filter { it !in before }
-                .joinToString(",") { "${it.name}${if (it.leaving) "(leaving)" else ""}" }
-        val removed = (targets.listed.keys - listed.map { it.name }.toSet()).joinToString(",")
-        logger.info("targets changed version={} changed=[{}] gone=[{}] listed={}", view.at, added, removed, listed.size)
-    }
-
-    private fun updateUsableTargets() {
-        val usable = targets.usable(clock.now())
-        loadBalancer.configure(usable)
-        targetClient.keepOnly(usable.mapTo(HashSet()) { it.address })
-    }
-
     private fun applyJobs(view: ObjectView) {
         jobIndex.update(view)
         runner.requestSchedulingPass()
@@ -486,7 +457,7 @@
 
     private fun status(): String =
         """{"role":"${settings.role.name.lowercase()}","host":"${settings.host.name}",""" +
-            """"revision":${configuration?.revision?.number ?: 0},"targets":${targets.listed.size},""" +
+            """"revision":${configuration?.revision?.number ?: 0},"targets":${targets.size},""" +
             """"reachable":${fleet.reachable.size},"leaving":$isLeaving}"""
 
     private companion object {
