Obey evacuations of failure domains and home regions

Cause: nothing kept requests from targets of a failure domain that operators evacuate, or from targets outside the regions of a route or workspace.

Change: package tanagerlane.evacuation decides which targets may be sent requests. Processes that call targets directly keep a view of the kind evacuations where the settings carry evacuationBound, and hand LoadBalancer only targets outside of evacuated domains. Home regions reach placement by PlacementRequest.mayUse and a like parameter of placeBatch. DaemonStatus, RestartingLoops and BatchPlacement leave DirectDaemon and JobRunner.

Measured: compiles; no tests run yet.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/places/LoadBalancer.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/places/LoadBalancer.kt
@@ -121,13 +121,16 @@
      * Selects a target of [service] with a free place for a batch item, or returns null if there is none.
      *
      * If all targets are in backoff, the fault may be in this process, so any of them may be selected.
+     *
+     * @param mayUse whether the item may be sent to a target at all
      */
     public fun placeBatch(
         service: ServiceName,
         now: Instant,
+        mayUse: (DirectTarget) -> Boolean = PlacementRequest.ANY_TARGET,
     ): DirectTarget? =
         synchronized(lock) {
-            val candidates = selectable[service].orEmpty()
+            val candidates = selectable[service].orEmpty().filter(mayUse)
             candidates
                 .filterNot { isInBackoff(it.name, now) }
                 .ifEmpty { candidates }
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/places/PlacementRequest.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/places/PlacementRequest.kt
@@ -15,5 +15,10 @@
     val service: ServiceName,
     val tried: Set<TargetName> = emptySet(),
     val demand: RequestDemand = RequestDemand(),
-    val mayUse: (DirectTarget) -> Boolean = { true },
-)
+    val mayUse: (DirectTarget) -> Boolean = ANY_TARGET,
+) {
+    public companion object {
+        /** Permits all targets. */
+        public val ANY_TARGET: (DirectTarget) -> Boolean = { true }
+    }
+}
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/serving/ServingRoute.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/serving/ServingRoute.kt
@@ -1,5 +1,6 @@
 package tanagerlane.serving
 
+import tanagerlane.model.RegionName
 import tanagerlane.model.RequestId
 import tanagerlane.model.ServiceName
 import tanagerlane.routing.RendezvousHash
@@ -15,6 +16,7 @@
  * @property attempts maximum number of targets to which one request may be sent
  * @property open whether requests are served without an API key
  * @property resumable whether an interrupted stream may be resumed at another target
+ * @property homeRegions regions in which its requests may run; empty for all
  * @property job terms of the jobs of a batch route, or null for other routes
  */
 public data class ServingRoute(
@@ -31,6 +33,7 @@
     val open: Boolean = false,
     val resumable: Boolean = false,
     val job: JobTerms? = null,
+    val homeRegions: Set<RegionName> = emptySet(),
 ) {
     /** Whether a request that may already have run may be sent again. */
     public val isRepeatable: Boolean
--- /dev/null
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DaemonStatus.kt
@@ -0,0 +1,32 @@
+package tanagerlane.direct
+
+import kotlinx.serialization.json.JsonPrimitive
+import tanagerlane.model.FailureDomain
+import tanagerlane.settings.DirectSettings
+import kotlin.time.Duration
+import kotlin.time.DurationUnit
+
+/** State of a process for its operators. */
+internal class DaemonStatus(
+    private val settings: DirectSettings,
+    private val revision: () -> Long,
+    private val targets: TargetDirectory,
+    private val fleet: Fleet,
+    private val isLeaving: () -> Boolean,
+    private val evacuations: () -> Map<FailureDomain, Duration>?,
+) {
+    /** Returns the state as a JSON object; evacuations are listed only where the process watches them. */
+    fun text(): String =
+        """{"role":"${settings.role.name.lowercase()}","host":"${settings.host.name}",""" +
+            """"revision":${revision()},"targets":${targets.size},""" +
+            """"reachable":${fleet.reachable.size},"leaving":${isLeaving()}${evacuationsField()}}"""
+
+    private fun evacuationsField(): String {
+        val ages = evacuations() ?: return ""
+        val entries = ages.map { (domain, age) -> "${quoted(domain.text)}:${age.toLong(DurationUnit.SECONDS)}" }
+        return entries.joinToString(",", prefix = ""","evacuations":{""", postfix = "}")
+    }
+
+    /** The names of evacuations come from the object API, which may allow any character in them. */
+    private fun quoted(name: String): String = JsonPrimitive(name).toString()
+}
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/Deployment.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/Deployment.kt
@@ -15,6 +15,8 @@
  * @property configuration objects from which the serving configuration is decoded
  * @property targets registrations of targets
  * @property removals orders to remove a host
+ * @property evacuations orders to send nothing to the targets of a failure domain; read only where the settings ask
+ *   for it
  * @property jobs formats of the bodies of job requests and job results
  * @property sharedParts returns the parts that the prompt of a request may share with others, from the header that
  *   lists its parts
@@ -27,6 +29,7 @@
     val configuration: ViewSource<ServingConfiguration>,
     val targets: ViewSource<DirectTarget>,
     val removals: ViewSource<HostRemoval>,
+    val evacuations: ViewSource<DomainEvacuation>,
     val jobs: JobBodyFormat,
     val sharedParts: (header: String) -> List<PromptPart>,
     val classify: (method: String, path: String, query: Map<String, String>) -> CallerCall,
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
@@ -6,7 +6,6 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import io.vertx.core.Vertx
 import io.vertx.kotlin.coroutines.dispatcher
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
@@ -18,6 +17,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
 import tanagerlane.attempts.LivenessSettings
+import tanagerlane.evacuation.HomeRegions
 import tanagerlane.joblog.RawItem
 import tanagerlane.limits.SharedRates
 import tanagerlane.membership.Member
@@ -78,6 +78,7 @@
     private val metrics = DirectMetrics(registry)
     private val deployment = createDeployment { metrics.storeCalls(it).increment() }
     private val scope = CoroutineScope(SupervisorJob() + vertx.dispatcher() + uncaughtExceptionHandler())
+    private val loops = RestartingLoops(scope)
     private val endpoint = WireEndpoint(hello(), scope, WIRE_LIMITS, clock::now)
     private val fleet: Fleet =
         Fleet(vertx, hello(), scope, endpoint, clock::now, ::receive) { runner.requestSchedulingPass() }
@@ -96,7 +97,14 @@
     private val membership = Membership(deployment.store, fleet, clock::now)
     private val decodedConfigurations = DecodedObjects(deployment.configuration)
     private val decodedRemovals = DecodedObjects(deployment.removals)
-    private val targets = TargetDirectory(deployment.targets, loadBalancer, targetClient, clock::now)
+    private val homeRegions = HomeRegions(settings.zones.associate { it.failureDomain to it.region })
+    private val evacuations =
+        settings.evacuationBound?.let { bound ->
+            val domains = homeRegions.regions.keys + settings.host.failureDomain
+            EvacuationDirectory(deployment.evacuations, bound, domains, clock::now)
+        }
+    private val targetRules = TargetRules(homeRegions, evacuations)
+    private val targets = TargetDirectory(deployment.targets, loadBalancer, targetClient, evacuations, clock::now)
     private var configuration: ServingConfiguration? = null
     private var isLeaving = false
     private var stopPlan: StopPlan? = null
@@ -106,14 +114,24 @@
         PlaceReports(fleet, incarnation, loadBalancer, rates, clock::now, { isLeaving }, { fleet.entries })
 
     private val configurationSynchronizer =
-        synchronizer(deployment.configuration.kind, CONFIGURATION_TIMES, ::applyConfiguration)
-    private val targetSynchronizer = synchronizer(deployment.targets.kind, TARGET_TIMES, targets::update)
-    private val jobSynchronizer = synchronizer(JobStorage.JOBS_KIND, JOB_TIMES, ::applyJobs)
-    private val memberSynchronizer = synchronizer(Membership.KIND, MEMBER_TIMES, membership::update)
-    private val removalSynchronizer = synchronizer(deployment.removals.kind, REMOVAL_TIMES, ::applyRemovals)
+        synchronizer(deployment.configuration.kind, ViewTimes.CONFIGURATION, ::applyConfiguration)
+    private val targetSynchronizer = synchronizer(deployment.targets.kind, ViewTimes.TARGETS, targets::update)
+    private val jobSynchronizer = synchronizer(JobStorage.JOBS_KIND, ViewTimes.JOBS, ::applyJobs)
+    private val memberSynchronizer = synchronizer(Membership.KIND, ViewTimes.MEMBERS, membership::update)
+    private val removalSynchronizer = synchronizer(deployment.removals.kind, ViewTimes.REMOVALS, ::applyRemovals)
+    private val evacuationSynchronizer: ViewSynchronizer? =
+        settings.evacuationBound?.let {
+            synchronizer(deployment.evacuations.kind, ViewTimes.evacuations(it), ::applyEvacuations)
+        }
     private val synchronizers =
-        listOf(configurationSynchronizer, targetSynchronizer, jobSynchronizer, memberSynchronizer, removalSynchronizer)
-            .associateBy { it.view.kind }
+        listOfNotNull(
+            configurationSynchronizer,
+            targetSynchronizer,
+            jobSynchronizer,
+            memberSynchronizer,
+            removalSynchronizer,
+            evacuationSynchronizer,
+        ).associateBy { it.view.kind }
 
     private val progressSaver =
         settings.host.dataFolder?.let { folder ->
@@ -126,6 +144,7 @@
             storage = storage,
             jobIndex = jobIndex,
             loadBalancer = loadBalancer,
+            rules = targetRules,
             itemRunner =
                 ItemRunner(
                     targetClient,
@@ -155,6 +174,7 @@
     private val onlineHandler =
         OnlineHandler(
             loadBalancer,
+            targetRules,
             targetClient,
             headers,
             answerForwarder,
@@ -190,14 +210,20 @@
                     configuration = ::callersConfiguration,
                     isCurrent = ::isCurrent,
                     entries = { fleet.entries },
-                    isReady = { !isLeaving && callersConfiguration() != null && targets.size > 0 },
+                    isReady = {
+                        !isLeaving && callersConfiguration() != null && targets.size > 0 && targetRules.areKnown
+                    },
                     isStopping = { isLeaving },
                     acceptsRequests = { stopPlan?.acceptsRequests(clock.now()) ?: true },
                     processorDelay = { processorDelay.at(clock.now()) },
                 ),
             now = clock::now,
         )
-    private val operatorServer = OperatorServer(vertx, registry, ready = { !isLeaving }, status = ::status)
+    private val status =
+        DaemonStatus(settings, { configuration?.revision?.number ?: 0 }, targets, fleet, { isLeaving }) {
+            evacuations?.inForce?.ages(clock.now())
+        }
+    private val operatorServer = OperatorServer(vertx, registry, ready = { !isLeaving }, status = status::text)
 
     private val isRunner: Boolean get() = settings.role == HostRole.BATCH
 
@@ -206,6 +232,7 @@
 
     init {
         metrics.observe(answerBudget)
+        evacuations?.let(metrics::observe)
     }
 
     /** Starts to serve; returns the address at which other processes connect, or why it could not be bound. */
@@ -276,40 +303,22 @@
 
     private fun launchLoops(bound: WireAddress) {
         synchronizers.values.forEach { synchronizer ->
-            launchLoop("view of ${synchronizer.view.kind}", synchronizer::run)
+            loops.launch("view of ${synchronizer.view.kind}", synchronizer::run)
         }
-        registration = launchLoop("membership") { membership.run(memberOf(bound)) }
-        launchLoop("reports", placeReports::run)
-        launchLoop("crash reports", promptGuard::run)
-        launchLoop("ticks", ::tickLoop)
+        registration = loops.launch("membership") { membership.run(memberOf(bound)) }
+        loops.launch("reports", placeReports::run)
+        loops.launch("crash reports", promptGuard::run)
+        loops.launch("ticks", ::tickLoop)
         if (!isRunner) {
-            launchLoop("processor delay", ::delayLoop)
+            loops.launch("processor delay", ::delayLoop)
         }
         if (isRunner) {
-            launchLoop("jobs", runner::run)
-            launchLoop("job reports", ::jobReportLoop)
-            progressSaver?.let { launchLoop("progress") { it.run(runner::jobs) } }
+            loops.launch("jobs", runner::run)
+            loops.launch("job reports", ::jobReportLoop)
+            progressSaver?.let { loops.launch("progress") { it.run(runner::jobs) } }
         }
     }
 
-    /** Runs [loop] until this process exits; an exception is logged, and the loop is restarted. */
-    private fun launchLoop(
-        name: String,
-        loop: suspend () -> Unit,
-    ): Job =
-        scope.launch {
-            while (true) {
-                try {
-                    loop()
-                } catch (exception: CancellationException) {
-                    throw exception
-                } catch (exception: Exception) {
-                    logger.error("loop failed loop={}", name, exception)
-                }
-                delay(LOOP_RETRY_PAUSE)
-            }
-        }
-
     private suspend fun delayLoop() {
         while (true) {
             processorDelay.ticked(clock.now())
@@ -388,6 +397,12 @@
         runner.requestSchedulingPass()
     }
 
+    private fun applyEvacuations(view: ObjectView) {
+        evacuations?.update(view, evacuationSynchronizer?.age() ?: Duration.ZERO)
+        targets.expire()
+        runner.requestSchedulingPass()
+    }
+
     private fun applyRemovals(view: ObjectView) {
         val order =
             decodedRemovals.decode(view).firstOrNull { it.host == settings.host.name && !it.isDone } ?: return
@@ -455,11 +470,6 @@
     private fun uncaughtExceptionHandler() =
         CoroutineExceptionHandler { _, exception -> logger.error("uncaught exception", exception) }
 
-    private fun status(): String =
-        """{"role":"${settings.role.name.lowercase()}","host":"${settings.host.name}",""" +
-            """"revision":${configuration?.revision?.number ?: 0},"targets":${targets.size},""" +
-            """"reachable":${fleet.reachable.size},"leaving":$isLeaving}"""
-
     private companion object {
         /** Datagrams show which processes are reachable, so connections need few pings. */
         val WIRE_LIMITS =
@@ -477,15 +487,7 @@
 
         /** Size of the heap as a multiple of the default budget for unfinished answers, which are copied in places. */
         const val HEAP_PER_ANSWER_BUDGET = 8
-        val CONFIGURATION_TIMES =
-            ViewTimes(watchTimeout = 1.seconds, pause = 50.milliseconds, updateTimeout = 1400.milliseconds)
-        val TARGET_TIMES =
-            ViewTimes(watchTimeout = 1.seconds, pause = 400.milliseconds, updateTimeout = 1000.milliseconds)
-        val JOB_TIMES = ViewTimes(watchTimeout = 2.seconds, pause = 50.milliseconds, updateTimeout = 2500.milliseconds)
-        val REMOVAL_TIMES = ViewTimes(watchTimeout = 2.seconds, pause = 500.milliseconds, updateTimeout = 3.seconds)
-        val MEMBER_TIMES = ViewTimes(watchTimeout = 5.seconds, pause = 200.milliseconds, updateTimeout = 6.seconds)
         val STARTUP_GRACE_PERIOD = StartupGracePeriod(duration = Fleet.SILENCE_TIMEOUT)
-        val LOOP_RETRY_PAUSE = 100.milliseconds
         val TICK_INTERVAL = 200.milliseconds
         val DELAY_CHECK_INTERVAL = 50.milliseconds
         val JOB_REPORT_INTERVAL = 300.milliseconds
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectMetrics.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectMetrics.kt
@@ -59,6 +59,14 @@
             .register(registry)
     }
 
+    /** Shows the number of [evacuations] in force. */
+    fun observe(evacuations: EvacuationDirectory) {
+        registry.gauge("tanagerlane.evacuations.in.force", evacuations) {
+            it.inForce.since.size
+                .toDouble()
+        }
+    }
+
     /** Returns the counter of attempts that ended with [end]. */
     fun attempts(end: AttemptEnd): Counter = attempts.getValue(end)
 
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobRunner.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobRunner.kt
@@ -24,10 +24,10 @@
 import tanagerlane.model.HostName
 import tanagerlane.model.JobId
 import tanagerlane.model.RequestClass
-import tanagerlane.model.ServiceName
 import tanagerlane.places.DirectTarget
 import tanagerlane.places.LoadBalancer
 import tanagerlane.serving.ServingConfiguration
+import tanagerlane.serving.ServingRoute
 import tanagerlane.store.StoreFailure
 import tanagerlane.streams.AnswerBudget
 import kotlin.time.Duration.Companion.milliseconds
@@ -52,6 +52,7 @@
     private val storage: JobStorage,
     private val jobIndex: JobIndex,
     private val loadBalancer: LoadBalancer,
+    private val rules: TargetRules,
     private val itemRunner: ItemRunner,
     private val isQuarantined: (RawItem) -> Boolean,
     private val progressSaver: ProgressSaver?,
@@ -349,28 +350,26 @@
                         ).filterNot { isQuarantined(it.item) }
                         .map { StartableItem(job, it, urgencyOf(job, it)) }
                 }.sortedBy { it.urgency }
-        val fullServices = HashSet<ServiceName>()
+        val placement = BatchPlacement(loadBalancer, rules)
         for (item in startable) {
-            val service = serviceFor(item.job, item.progress) ?: continue
-            if (service in fullServices) {
-                continue
-            }
-            val target = loadBalancer.placeBatch(service, now())
-            if (target == null) fullServices += service else start(item.job, item.progress, target)
+            val route = routeFor(item.job, item.progress) ?: continue
+            val workspace = configuration()?.workspaces?.get(item.job.log.record.workspace)
+            val target = placement.targetFor(item.progress.item.id, route, workspace, now()) ?: continue
+            start(item.job, item.progress, target)
         }
     }
 
-    /** Returns the service that runs an item now, or null if there is none; abandons items of removed routes. */
-    private fun serviceFor(
+    /** Returns the route of an item now, or null if there is none; abandons items of removed routes. */
+    private fun routeFor(
         job: AssignedJob,
         progress: ItemProgress,
-    ): ServiceName? {
+    ): ServingRoute? {
         val current = configuration() ?: return null
         val route = current.routeFor(job.log.record.routeHost, progress.item.path)
         if (route == null && isConfigurationCurrent()) {
             finish(job, progress, ItemEnd.ABANDONED, "route removed")
         }
-        return route?.serviceFor(progress.item.id)
+        return route
     }
 
     private fun start(
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineHandler.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineHandler.kt
@@ -21,6 +21,7 @@
  */
 internal class OnlineHandler(
     private val loadBalancer: LoadBalancer,
+    private val rules: TargetRules,
     private val client: TargetClient,
     private val headers: RequestHeaders,
     private val forwarder: AnswerForwarder,
@@ -55,7 +56,7 @@
             return withoutTarget(request, RefusalReason.QUARANTINED)
         }
         val target =
-            when (val placement = loadBalancer.place(request.service, request.triedTargets, now())) {
+            when (val placement = loadBalancer.place(request.placement(rules), now())) {
                 is Placement.At -> placement.target
                 Placement.Full -> return withoutTarget(request, RefusalReason.OVERLOADED)
                 Placement.NoTarget -> return withoutTarget(request, RefusalReason.NO_TARGET)
@@ -156,10 +157,7 @@
     ): Duration {
         val mayRepeat = request.route.isRepeatable && request.possibleRuns + 1 < request.route.attempts
         return if (mayRepeat) {
-            minOf(
-                remaining,
-                maxOf(request.route.objective * OBJECTIVES_PER_HEAD_TIMEOUT, MINIMUM_HEAD_TIMEOUT),
-            )
+            minOf(remaining, maxOf(request.route.objective * OBJECTIVES_PER_HEAD_TIMEOUT, MINIMUM_HEAD_TIMEOUT))
         } else {
             remaining
         }
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineRequest.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineRequest.kt
@@ -4,6 +4,7 @@
 import tanagerlane.model.PromptPart
 import tanagerlane.model.ServiceName
 import tanagerlane.model.TargetName
+import tanagerlane.places.PlacementRequest
 import tanagerlane.serving.ServingRoute
 import tanagerlane.serving.ServingWorkspace
 import kotlin.time.Instant
@@ -40,4 +41,8 @@
 
     /** Whether the head of the answer has been sent to the caller. */
     val isAnswerStarted: Boolean get() = exchange.isAnswerStarted
+
+    /** Returns the request for a target to which the next attempt may be sent by [rules]. */
+    fun placement(rules: TargetRules): PlacementRequest =
+        PlacementRequest(service, triedTargets, mayUse = rules.targetsFor(route, workspace))
 }
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetDirectory.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetDirectory.kt
@@ -7,11 +7,16 @@
 import tanagerlane.views.ObjectView
 import kotlin.time.Instant
 
-/** The targets that the object API lists, of which those that may be called are passed on. */
+/**
+ * The targets that the object API lists, of which those that may be sent requests are passed on.
+ *
+ * @param evacuations evacuations of failure domains, or null if there are none in this deployment
+ */
 internal class TargetDirectory(
     source: ViewSource<DirectTarget>,
     private val loadBalancer: LoadBalancer,
     private val client: TargetClient,
+    private val evacuations: EvacuationDirectory?,
     private val now: () -> Instant,
 ) {
     private val decodedObjects = DecodedObjects(source)
@@ -30,10 +35,10 @@
         expire()
     }
 
-    /** Stops the use of targets whose registration lapsed too long ago. */
+    /** Stops the use of targets that are evacuated, or whose registration lapsed too long ago. */
     fun expire() {
         val usable = targets.usable(now())
-        loadBalancer.configure(usable)
+        loadBalancer.configure(if (evacuations == null) usable else evacuations.permitted(usable))
         client.keepOnly(usable.mapTo(HashSet()) { it.address })
     }
 
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ViewSynchronizer.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ViewSynchronizer.kt
@@ -53,6 +53,9 @@
     suspend fun run() {
         while (true) {
             if (watcherSelection.shouldWatch(kind, fleet.reachable, age())) {
+                if (times.asksPeers && isOverdue()) {
+                    requestCopy()
+                }
                 poll()
             } else {
                 delay(SELECTION_INTERVAL)
@@ -136,10 +139,17 @@
     /** Requests a snapshot from another process if this one has started while the object API was unavailable. */
     private fun requestSnapshot() {
         if (!view.isComplete) {
-            fleet.reachable.randomOrNull()?.let { fleet.send(it, ViewRequest(kind)) }
+            requestCopy()
         }
     }
 
+    private fun requestCopy() {
+        fleet.reachable.randomOrNull()?.let { fleet.send(it, ViewRequest(kind)) }
+    }
+
+    /** Whether the object API and the other processes have confirmed nothing for longer than they should take. */
+    private fun isOverdue(): Boolean = age()?.let { it > times.updateTimeout } ?: true
+
     private suspend fun relist() {
         val update =
             list().getOrElse {
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeDeployment.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeDeployment.kt
@@ -159,6 +159,7 @@
             configuration = ViewSource("config") { Ok(configurations.getValue(it.value?.toText()?.toLong() ?: 1)) },
             targets = ViewSource("targets") { Ok(targetOf(it.name, it.value?.toText().orEmpty())) },
             removals = ViewSource("removals") { Ok(HostRemoval(HostName(it.name), isDone = false)) },
+            evacuations = ViewSource("evacuations") { Ok(DomainEvacuation(FailureDomain(it.name))) },
             jobs = JobBodyFormat(items = { Ok(itemsOf(it.toText())) }, results = ::resultsOf, resultBytes = { 40 }),
             sharedParts = { header -> header.split(',').dropLast(1).map { PromptPart(it.substringBefore(':')) } },
             classify = ::classify,
