Test evacuations and home regions with real processes

Cause: nothing showed that requests, second attempts, resumed streams and batch items obey, nor that a process learns of evacuations from its peers.

Change: EvacuationServingTest and EvacuationDirectoryTest; the fake deployment takes failure domains of targets and a further line of settings. The status lists evacuations in order of their names.

Before that EvacuationServingTest failed three times by its own faults: it expected whole answers of streams that break off, an order of names in the status, and a spread over domains of requests sent one by one (also one 503 overloaded by processor delay on the busy machine).

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DaemonStatus.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DaemonStatus.kt
@@ -15,7 +15,7 @@
     private val isLeaving: () -> Boolean,
     private val evacuations: () -> Map<FailureDomain, Duration>?,
 ) {
-    /** Returns the state as a JSON object; evacuations are listed only where the process watches them. */
+    /** Returns the state as a JSON object; evacuations, with their age in seconds, only where they are watched. */
     fun text(): String =
         """{"role":"${settings.role.name.lowercase()}","host":"${settings.host.name}",""" +
             """"revision":${revision()},"targets":${targets.size},""" +
@@ -23,7 +23,11 @@
 
     private fun evacuationsField(): String {
         val ages = evacuations() ?: return ""
-        val entries = ages.map { (domain, age) -> "${quoted(domain.text)}:${age.toLong(DurationUnit.SECONDS)}" }
+        val entries =
+            ages
+                .map { (domain, age) ->
+                    "${quoted(domain.text)}:${age.toLong(DurationUnit.SECONDS)}"
+                }.sorted()
         return entries.joinToString(",", prefix = ""","evacuations":{""", postfix = "}")
     }
 
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
@@ -96,7 +96,6 @@
     private val resultsClient = ResultsClient(fleet::send)
     private val membership = Membership(deployment.store, fleet, clock::now)
     private val decodedConfigurations = DecodedObjects(deployment.configuration)
-    private val decodedRemovals = DecodedObjects(deployment.removals)
     private val homeRegions = HomeRegions(settings.zones.associate { it.failureDomain to it.region })
     private val evacuations =
         settings.evacuationBound?.let { bound ->
@@ -113,12 +112,22 @@
     private val placeReports =
         PlaceReports(fleet, incarnation, loadBalancer, rates, clock::now, { isLeaving }, { fleet.entries })
 
+    private val hostDrain: HostDrain =
+        HostDrain(
+            host = settings.host.name,
+            deployment = deployment,
+            scope = scope,
+            isLeaving = { isLeaving },
+            startLeaving = ::startLeaving,
+            hasWork = { !runner.isEmpty || storeRelay.isRelaying },
+        )
+
     private val configurationSynchronizer =
         synchronizer(deployment.configuration.kind, ViewTimes.CONFIGURATION, ::applyConfiguration)
     private val targetSynchronizer = synchronizer(deployment.targets.kind, ViewTimes.TARGETS, targets::update)
     private val jobSynchronizer = synchronizer(JobStorage.JOBS_KIND, ViewTimes.JOBS, ::applyJobs)
     private val memberSynchronizer = synchronizer(Membership.KIND, ViewTimes.MEMBERS, membership::update)
-    private val removalSynchronizer = synchronizer(deployment.removals.kind, ViewTimes.REMOVALS, ::applyRemovals)
+    private val removalSynchronizer = synchronizer(deployment.removals.kind, ViewTimes.REMOVALS, hostDrain::update)
     private val evacuationSynchronizer: ViewSynchronizer? =
         settings.evacuationBound?.let {
             synchronizer(deployment.evacuations.kind, ViewTimes.evacuations(it), ::applyEvacuations)
@@ -403,16 +412,6 @@
         runner.requestSchedulingPass()
     }
 
-    private fun applyRemovals(view: ObjectView) {
-        val order =
-            decodedRemovals.decode(view).firstOrNull { it.host == settings.host.name && !it.isDone } ?: return
-        if (!isLeaving) {
-            logger.info("draining host for removal host={} version={}", order.host, view.at)
-            startLeaving()
-            scope.launch { drainHost() }
-        }
-    }
-
     /** Stops accepting new work, and reports this to the other processes. */
     private fun startLeaving() {
         isLeaving = true
@@ -420,16 +419,6 @@
         placeReports.requestReport()
     }
 
-    private suspend fun drainHost() {
-        while (!runner.isEmpty || storeRelay.isRelaying) {
-            delay(STOP_CHECK_INTERVAL)
-        }
-        while (!deployment.reportDrained(settings.host.name)) {
-            delay(REMOVAL_RETRY_PAUSE)
-        }
-        logger.info("host drained host={}", settings.host.name)
-    }
-
     private fun synchronizer(
         kind: String,
         times: ViewTimes,
@@ -501,7 +490,6 @@
         /** Part of the stop time that is kept for the work after the last answer. */
         val STOP_RESERVE = 800.milliseconds
         val STOP_CHECK_INTERVAL = 20.milliseconds
-        val REMOVAL_RETRY_PAUSE = 300.milliseconds
         val logger = LoggerFactory.getLogger(DirectDaemon::class.java)
     }
 }
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeDeployment.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeDeployment.kt
@@ -39,11 +39,16 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** A small deployment whose objects and bodies are plain text, for tests of processes that call targets directly. */
+/**
+ * A small deployment whose objects and bodies are plain text, for tests of processes that call targets directly.
+ *
+ * @param domains failure domains of targets by name; of all others it is `a`
+ */
 internal class FakeDeployment(
     private val vertx: Vertx,
     private val targets: List<FakeTarget>,
     private val rate: Rate? = null,
+    private val domains: Map<String, String> = emptyMap(),
 ) {
     val store = MemoryObjectStore()
     private val service = ServiceName("models")
@@ -90,6 +95,7 @@
      *
      * @param ownStore client of the object API that the process uses
      * @param ports ports for callers, for other processes and for operators
+     * @param furtherSettings one further line of the settings
      * @param readyPort port for readiness checks, or null if they come to the port for callers
      */
     suspend fun start(
@@ -101,6 +107,7 @@
         vertx: Vertx = this.vertx,
         stopTime: Duration = 8.seconds,
         readyPort: Int? = null,
+        furtherSettings: String = "",
     ): StartedDaemon {
         val settings =
             SettingsReader
@@ -112,6 +119,7 @@
                     callerAddress = "127.0.0.1:${ports[0]}"
                     ${readyPort?.let { "readyAddress = '127.0.0.1:$it'" }.orEmpty()}
                     stopTime = "$stopTime"
+                    $furtherSettings
                     [host]
                     name = "$name"
                     failureDomain = "a"
@@ -172,7 +180,7 @@
     ): DirectTarget {
         val ownService = registration.substringAfter(' ', "").ifEmpty { null }?.let(::ServiceName) ?: service
         val address = "127.0.0.1:${registration.substringBefore(' ')}"
-        return DirectTarget(TargetName(name), ownService, address, FailureDomain("a"), places = 4)
+        return DirectTarget(TargetName(name), ownService, address, FailureDomain(domains[name] ?: "a"), places = 4)
     }
 
     /** Returns one item for each line of [body]. */
