Count a process as paused after a third of the evacuation bound

Cause: at a fifth, a busy process in an outage of the object API would refuse requests for a second after each stall of a second. With confirmations every 2.75 s at most, a third still leaves knowledge younger than the bound.

Change: the threshold, and a log line that tells the age of what is known.

Measured: EvacuationDecisionsTest 21, EvacuationDirectoryTest 5, EvacuationWatchersTest 3 and EvacuationServingTest 5 pass.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/evacuation/EvacuationGrace.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/evacuation/EvacuationGrace.kt
@@ -16,7 +16,7 @@
 public data class EvacuationGrace(
     val bound: Duration,
     val copyGrace: Duration = bound / 5,
-    val pauseThreshold: Duration = bound / 5,
+    val pauseThreshold: Duration = bound / 3,
 ) {
     /**
      * Whether requests may be sent.
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/EvacuationDirectory.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/EvacuationDirectory.kt
@@ -89,10 +89,10 @@
     private fun noticePause() {
         val time = now()
         if (time - ranAt > grace.pauseThreshold) {
-            logger.info("evacuations awaited cause=pause paused_for={}", time - ranAt)
             runningSince = time
             isAfterPause = true
             hasCopy = false
+            logger.info("process was paused for={} evacuations_age={}", time - ranAt, currentAt?.let { time - it })
         }
         ranAt = time
     }
