Keep places free for online requests where batch items are not pressing

Cause: runners start items in every free place.

Change: LoadBalancer.placeBatch leaves a number of places free, and ItemUrgency says whether an item is pressing. Nothing asks for free places yet.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/joblog/ItemUrgency.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/joblog/ItemUrgency.kt
@@ -23,6 +23,12 @@
     override fun compareTo(other: ItemUrgency): Int =
         compareValuesBy(this, other, { it.isLate }, { it.dueAt }, { it.remaining })
 
+    /** Whether the item is in time at [now], but no longer if it waits for [margin]. */
+    public fun isPressing(
+        now: Instant,
+        margin: Duration,
+    ): Boolean = !isLate && now + remaining + margin > dueAt
+
     public companion object {
         /** Returns the urgency of an item with [events] events so far, of a job that is due at [dueAt]. */
         public fun of(
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/places/LoadBalancer.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/places/LoadBalancer.kt
@@ -121,10 +121,13 @@
      * Selects a target of [service] with a free place for a batch item, or returns null if there is none.
      *
      * If all targets are in backoff, the fault may be in this process, so any of them may be selected.
+     *
+     * @param keepFree places that stay free at the target for online requests
      */
     public fun placeBatch(
         service: ServiceName,
         now: Instant,
+        keepFree: Int = 0,
     ): DirectTarget? =
         synchronized(lock) {
             val candidates = selectable[service].orEmpty()
@@ -132,7 +135,7 @@
                 .filterNot { isInBackoff(it.name, now) }
                 .ifEmpty { candidates }
                 .map { FreePlaces(it, it.places - loadOf(it.name, now).total) }
-                .filter { it.free > 0 }
+                .filter { it.free > keepFree.coerceAtMost(it.target.places - 1) }
                 .sortedWith(compareByDescending<FreePlaces> { it.free }.thenBy { it.target.failureDomain != domain })
                 .firstOrNull()
                 ?.target
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
@@ -148,6 +148,8 @@
             wallClock = Clock.System::now,
             onLoadChanged = placeReports::requestReport,
         )
+    private val resultQueries =
+        ResultQueries(scope, fleet, storage, runner::assigned, { isLeaving }, runner::requestSchedulingPass)
     private val answerForwarder =
         AnswerForwarder(loadBalancer, deployment.headers, promptGuard, metrics, clock::now) {
             processorDelay.at(clock.now())
@@ -345,7 +347,7 @@
             is JobReport -> jobIndex.updateBacklogs(message.backlog)
             is ViewUpdate -> synchronizers[message.kind]?.onUpdate(from, message)
             is ViewRequest -> synchronizers[message.kind]?.onSnapshotRequest(from)
-            is ResultsQuery -> runner.answer(from, message)
+            is ResultsQuery -> resultQueries.answer(from, message)
             is ResultsReply -> resultsClient.onReply(message)
             is RelayedCall -> storeRelay.onCall(from, message)
             is RelayedReply -> storeRelay.onReply(message)
