--- a/tanagerlane-core/src/main/kotlin/tanagerlane/places/LoadBalancer.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/places/LoadBalancer.kt
@@ -123,11 +123,13 @@
      * If all targets are in backoff, the fault may be in this process, so any of them may be selected.
      *
      * @param mayUse whether the item may be sent to a target at all
+     * @param keepFree places that stay free at the target for online requests
      */
     public fun placeBatch(
         service: ServiceName,
         now: Instant,
         mayUse: (DirectTarget) -> Boolean = PlacementRequest.ANY_TARGET,
+        keepFree: Int = 0,
     ): DirectTarget? =
         synchronized(lock) {
             val candidates = selectable[service].orEmpty().filter(mayUse)
@@ -135,7 +137,7 @@
                 .filterNot { isInBackoff(it.name, now) }
                 .ifEmpty { candidates }
                 .map { FreePlaces(it, it.places - loadOf(it.name, now).total) }
-                .filter { it.free > 0 }
+                .filter { it.free > keepFree.coerceAtMost(it.target.places - 1) }
                 .sortedWith(compareByDescending<FreePlaces> { it.free }.thenBy { it.target.failureDomain != domain })
                 .firstOrNull()
                 ?.target
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/BatchPlacement.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/BatchPlacement.kt
@@ -9,33 +9,41 @@
 import tanagerlane.serving.ServingWorkspace
 import kotlin.time.Instant
 
-/** Selects targets for batch items in one scheduling pass; a service that is full is not searched again. */
+/**
+ * Selects targets for batch items in one scheduling pass; a service that is full is not searched again.
+ *
+ * @param headroom places at each target that items which are not pressing leave free for online requests
+ */
 internal class BatchPlacement(
     private val loadBalancer: LoadBalancer,
     private val rules: TargetRules,
+    private val headroom: Int,
 ) {
     private val full = HashSet<Place>()
 
-    /** Returns a target for the item [id] of [route] and [workspace], or null if none has a free place. */
+    /** Returns a target for the item [id] of [route] and [workspace], or null if none has a place for it. */
     fun targetFor(
         id: RequestId,
         route: ServingRoute,
         workspace: ServingWorkspace?,
+        isPressing: Boolean,
         now: Instant,
     ): DirectTarget? {
         val service = route.serviceFor(id) ?: return null
-        val place = Place(service, route.homeRegions, workspace?.homeRegions.orEmpty())
+        val keepFree = if (isPressing) 0 else headroom
+        val place = Place(service, route.homeRegions, workspace?.homeRegions.orEmpty(), keepFree)
         if (place in full) {
             return null
         }
-        return loadBalancer.placeBatch(service, now, rules.targetsFor(route, workspace))
+        return loadBalancer.placeBatch(service, now, rules.targetsFor(route, workspace), keepFree)
             ?: null.also { full += place }
     }
 
-    /** A service within the home regions of a route and a workspace. */
+    /** A service within the home regions of a route and a workspace, and the places that stay free. */
     private data class Place(
         val service: ServiceName,
         val routeHomes: Set<RegionName>,
         val workspaceHomes: Set<RegionName>,
+        val keepFree: Int,
     )
 }
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
@@ -96,7 +96,7 @@
     private val resultsClient = ResultsClient(fleet::send)
     private val membership = Membership(deployment.store, fleet, clock::now)
     private val decodedConfigurations = DecodedObjects(deployment.configuration)
-    private val homeRegions = HomeRegions(settings.zones.associate { it.failureDomain to it.region })
+    private val homeRegions = HomeRegions(settings.domainRegions.associate { it.failureDomain to it.region })
     private val evacuations =
         settings.evacuationBound?.let { bound ->
             val domains = homeRegions.regions.keys + settings.host.failureDomain
@@ -154,6 +154,7 @@
             jobIndex = jobIndex,
             loadBalancer = loadBalancer,
             rules = targetRules,
+            headroom = settings.batchHeadroom,
             itemRunner =
                 ItemRunner(
                     targetClient,
@@ -176,6 +177,8 @@
             wallClock = Clock.System::now,
             onLoadChanged = placeReports::requestReport,
         )
+    private val resultQueries =
+        ResultQueries(scope, fleet, storage, runner::assigned, { isLeaving }, runner::requestSchedulingPass)
     private val answerForwarder =
         AnswerForwarder(loadBalancer, deployment.headers, promptGuard, metrics, clock::now) {
             processorDelay.at(clock.now())
@@ -363,7 +366,7 @@
             is JobReport -> jobIndex.updateBacklogs(message.backlog)
             is ViewUpdate -> synchronizers[message.kind]?.onUpdate(from, message)
             is ViewRequest -> synchronizers[message.kind]?.onSnapshotRequest(from)
-            is ResultsQuery -> runner.answer(from, message)
+            is ResultsQuery -> resultQueries.answer(from, message)
             is ResultsReply -> resultsClient.onReply(message)
             is RelayedCall -> storeRelay.onCall(from, message)
             is RelayedReply -> storeRelay.onReply(message)
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/EvacuationServingTest.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/EvacuationServingTest.kt
@@ -179,7 +179,7 @@
         test("requests of a route with home regions go only to targets there, batch items as well") {
             val targets = startTargets("a1", "b1")
             val deployment = deploymentOf(targets).also { it.prepare() }
-            val zones = """zones = [{ failureDomain = "b", region = "south" }]"""
+            val zones = """domainRegions = [{ failureDomain = "b", region = "south" }]"""
             val ports = deployment.freePorts()
             val port = deployment.start("entry-1", "entry", ports = ports, furtherSettings = zones).port
             deployment.start("batch-1", "batch", furtherSettings = zones)
