Pace targets that are cold, new or recovering

Cause: a failure excluded a target for a backoff and one success restored all its traffic at once, and nothing bounded the requests to a target that is cold.

LoadBalancer asks it through TargetPacing; the backoff becomes FailureBackoff, the default.

The new package is not tested yet.

--- /dev/null
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/pace/TargetWindow.kt
@@ -0,0 +1,157 @@
+package tanagerlane.pace
+
+import tanagerlane.model.HostName
+import tanagerlane.places.DirectTarget
+import kotlin.time.Duration
+import kotlin.time.Instant
+
+/**
+ * The requests that all processes may have in flight at one target that has just been registered or has failed.
+ *
+ * The window doubles with each round of answers in time, and is halved by a late one and by a failure. Failures that
+ * more than one process has seen, or this one repeatedly, hold the target back until a probe was answered. Failures
+ * that only one other process reports may have their cause there, so they halve the window no further than once.
+ * Not thread-safe.
+ */
+internal class TargetWindow(
+    private val settings: PaceSettings,
+    private val places: Int,
+    window: Double,
+    now: Instant,
+) {
+    private val failedBy = HashSet<HostName>()
+    private var ownFailures = 0
+    private var consecutiveHolds = 0
+    private var heldUntil = Instant.DISTANT_PAST
+    private var lastFailureAt = now
+    private var changedAt = now
+    private var fullSince: Instant? = null
+
+    /** Requests that all processes together may have in flight. */
+    var size = window.coerceIn(1.0, places.toDouble())
+        private set
+
+    /** Whether the target is held back until a probe is answered. */
+    var isProbed = false
+        private set
+
+    /** Whether the target bears as many requests as it has places. */
+    val isFull: Boolean get() = fullSince != null
+
+    /** Records [answers] of which [late] began late; [isOwn] if this process has received them. */
+    fun answered(
+        answers: Long,
+        late: Long,
+        isOwn: Boolean,
+        now: Instant,
+    ) {
+        failedBy.clear()
+        consecutiveHolds = 0
+        if (isOwn) {
+            ownFailures = 0
+            heldUntil = minOf(heldUntil, now)
+        }
+        if (isProbed) {
+            isProbed = false
+            heldUntil = minOf(heldUntil, now)
+            resize(settings.firstWindow, now)
+        } else if (late == 0L) {
+            resize(size + minOf(answers.toDouble(), size), now)
+        } else {
+            shrink(now)
+        }
+    }
+
+    /** Records that a request has failed at [host]; [isOwn] if that is this process. */
+    fun failed(
+        host: HostName,
+        isOwn: Boolean,
+        now: Instant,
+    ) {
+        failedBy += host
+        lastFailureAt = now
+        if (isOwn) ownFailures++
+        val isConfirmed = ownFailures > 1 || failedBy.size > 1
+        if (isConfirmed) {
+            isProbed = true
+            fullSince = null
+            size = 1.0
+        } else if (isOwn || size > places * LONE_SHARE) {
+            shrink(now)
+        }
+        if (isOwn || isConfirmed) {
+            hold(now)
+        }
+    }
+
+    /** Records that the target has refused a request of this process, which waits before it sends the next one. */
+    fun rejected(now: Instant) {
+        lastFailureAt = now
+        shrink(now)
+        hold(now)
+    }
+
+    /** Ends limits that have lasted too long without a failure; returns whether the window is still of use. */
+    fun expire(now: Instant): Boolean {
+        val quiet = now - lastFailureAt
+        if (isProbed && quiet > settings.heldTime) {
+            isProbed = false
+            lastFailureAt = now
+            resize(settings.firstWindow, now)
+        } else if (!isProbed && quiet > settings.limitTime) {
+            resize(places.toDouble(), now)
+        }
+        return fullSince?.let { now - it <= settings.linger } ?: true
+    }
+
+    /** Whether the target is held back after a failure. */
+    fun isHeld(now: Instant): Boolean = now < heldUntil
+
+    /** Returns the time since the hold after the last failure has ended; negative before its end. */
+    fun timeSinceHold(now: Instant): Duration = now - heldUntil
+
+    /** Whether the window has not changed for so long that the processes with a share in it may have no requests. */
+    fun isStalled(now: Instant): Boolean = now - changedAt > settings.growthTimeout
+
+    /** Requests that fail during a hold were sent before it, so only the first failure lengthens the next hold. */
+    private fun hold(now: Instant) {
+        if (now >= heldUntil) {
+            val hold = settings.initialHold * (1 shl consecutiveHolds.coerceAtMost(MAXIMUM_DOUBLINGS))
+            heldUntil = now + minOf(hold, settings.maximumHold)
+            consecutiveHolds++
+        }
+    }
+
+    private fun shrink(now: Instant) {
+        if (now - changedAt >= settings.initialHold || isFull || size > places * LONE_SHARE) {
+            fullSince = null
+            size = (size / 2).coerceAtLeast(1.0)
+            changedAt = now
+        }
+    }
+
+    private fun resize(
+        to: Double,
+        now: Instant,
+    ) {
+        if (to != size || !isFull) changedAt = now
+        size = to.coerceIn(1.0, places.toDouble())
+        if (size >= places) {
+            fullSince = fullSince ?: now
+        }
+    }
+
+    companion object {
+        private const val MAXIMUM_DOUBLINGS = 6
+
+        /** Share of the places to which failures that only one other process reports reduce a window. */
+        private const val LONE_SHARE = 0.5
+
+        /** Returns the window of [target] when it is at full pace. */
+        fun full(
+            target: DirectTarget,
+            settings: PaceSettings,
+            now: Instant,
+        ) = TargetWindow(settings, target.places, target.places.toDouble(), now)
+    }
+}
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/places/DirectTarget.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/places/DirectTarget.kt
@@ -11,7 +11,7 @@
  * @property address IP address and port
  * @property places number of requests that it runs concurrently
  * @property leaving whether it is shutting down and accepts no new requests
- * @property coldTime time for which it stays cold, as of its registration
+ * @property coldTime time for which it stayed cold when its registration was written, or null if that does not tell
  */
 public data class DirectTarget(
     val name: TargetName,
@@ -20,5 +20,5 @@
     val failureDomain: FailureDomain,
     val places: Int,
     val leaving: Boolean = false,
-    val coldTime: Duration = Duration.ZERO,
+    val coldTime: Duration? = null,
 )
--- /dev/null
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/places/FailureBackoff.kt
@@ -0,0 +1,58 @@
+package tanagerlane.places
+
+import tanagerlane.model.TargetName
+import kotlin.time.Duration
+import kotlin.time.Instant
+
+/**
+ * Holds a target back after a failure for a backoff that doubles with each consecutive failure.
+ *
+ * @param initial time for which a target is avoided after the first of consecutive failures
+ * @param maximum upper limit of the time for which a target is avoided
+ */
+public class FailureBackoff(
+    private val initial: Duration,
+    private val maximum: Duration,
+) : TargetPacing {
+    private val failures = HashMap<TargetName, FailureStreak>()
+
+    override fun configure(
+        targets: Collection<DirectTarget>,
+        now: Instant,
+    ) {
+        if (failures.isNotEmpty()) {
+            failures.keys.retainAll(targets.mapTo(HashSet()) { it.name })
+        }
+    }
+
+    override fun admission(
+        target: DirectTarget,
+        loads: TargetLoads,
+        now: Instant,
+    ): PaceDecision {
+        val isInBackoff = failures[target.name]?.let { it.backoffUntil > now } ?: false
+        return if (isInBackoff) PaceDecision.HELD else PaceDecision.ADMITTED
+    }
+
+    override fun succeeded(target: TargetName) {
+        failures.remove(target)
+    }
+
+    override fun failed(
+        target: TargetName,
+        now: Instant,
+    ) {
+        val length = (failures[target]?.length ?: 0) + 1
+        val backoff = initial * (1 shl (length - 1).coerceAtMost(MAXIMUM_DOUBLINGS))
+        failures[target] = FailureStreak(length, backoffUntil = now + minOf(backoff, maximum))
+    }
+
+    private data class FailureStreak(
+        val length: Int,
+        val backoffUntil: Instant,
+    )
+
+    private companion object {
+        const val MAXIMUM_DOUBLINGS = 6
+    }
+}
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/places/LoadBalancer.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/places/LoadBalancer.kt
@@ -23,21 +23,34 @@
     private val own: HostName,
     private val domain: FailureDomain,
     private val settings: LoadBalancerSettings = LoadBalancerSettings(),
+    private val pacing: TargetPacing = FailureBackoff(settings.initialBackoff, settings.maximumBackoff),
 ) {
     private val lock = Any()
     private var targets: Map<TargetName, DirectTarget> = emptyMap()
     private var selectable: Map<ServiceName, List<DirectTarget>> = emptyMap()
     private val ownLoads = HashMap<TargetName, TargetLoad>()
     private val others = ReportedLoads(settings.reportLifetime)
-    private val failures = HashMap<TargetName, FailureStreak>()
     private var selections = 0
+    private var selectedAt = Instant.DISTANT_PAST
+    private val loads =
+        object : TargetLoads {
+            override fun ofAll(
+                target: TargetName,
+                now: Instant,
+            ) = loadOf(target, now)
 
-    /** Replaces the set of targets that may be selected. */
-    public fun configure(usable: Collection<DirectTarget>) {
+            override fun own(target: TargetName) = ownLoads[target]?.total ?: 0
+        }
+
+    /** Replaces the set of targets that may be selected from [now] on. */
+    public fun configure(
+        usable: Collection<DirectTarget>,
+        now: Instant = selectedAt,
+    ) {
         synchronized(lock) {
             targets = usable.associateBy { it.name }
             selectable = targets.values.filterNot { it.leaving }.groupBy { it.service }
-            failures.keys.retainAll(targets.keys)
+            pacing.configure(targets.values, now)
         }
     }
 
@@ -48,19 +61,31 @@
         now: Instant,
     ) {
         val places = report.places.associate { it.target to TargetLoad(it.online, it.batch) }
-        synchronized(lock) { others.replace(host, places, now) }
+        synchronized(lock) {
+            others.replace(host, places, now)
+            pacing.received(report, now)
+        }
     }
 
     /** Discards the last report of [host], which has terminated. */
     public fun forget(host: HostName) {
-        synchronized(lock) { others.remove(host) }
+        synchronized(lock) {
+            others.remove(host)
+            pacing.forget(host)
+        }
     }
 
-    /** Records that this process has sent a request to [target]. */
+    /** Records that this process has sent a request to [target] at [now], by default when a target was last selected. */
     public fun started(
         target: TargetName,
         requestClass: RequestClass,
-    ): Unit = synchronized(lock) { count(target, requestClass, 1) }
+        now: Instant = selectedAt,
+    ) {
+        synchronized(lock) {
+            count(target, requestClass, 1)
+            pacing.sent(target, now)
+        }
+    }
 
     /** Records that a request of this process to [target] has ended. */
     public fun ended(
@@ -68,22 +93,17 @@
         requestClass: RequestClass,
     ): Unit = synchronized(lock) { count(target, requestClass, -1) }
 
+    /** Applies [record] to what is known of the pace that targets bear. */
+    public fun <T> pace(record: TargetPacing.() -> T): T = synchronized(lock) { pacing.record() }
+
     /** Records a successful answer of [target], which ends its backoff. */
-    public fun succeeded(target: TargetName) {
-        synchronized(lock) { failures.remove(target) }
-    }
+    public fun succeeded(target: TargetName): Unit = pace { succeeded(target) }
 
-    /** Records a failure of [target], which is avoided for a backoff that doubles with each consecutive failure. */
+    /** Records a failure of [target], which is held back afterwards; see [TargetPacing]. */
     public fun failed(
         target: TargetName,
         now: Instant,
-    ) {
-        synchronized(lock) {
-            val length = (failures[target]?.length ?: 0) + 1
-            val backoff = settings.initialBackoff * (1 shl (length - 1).coerceAtMost(MAXIMUM_DOUBLINGS))
-            failures[target] = FailureStreak(length, backoffUntil = now + minOf(backoff, settings.maximumBackoff))
-        }
-    }
+    ): Unit = pace { failed(target, now) }
 
     /** Returns the requests that this process has in flight, by target. */
     public fun report(): List<TargetPlaces> =
@@ -110,27 +130,25 @@
         synchronized(lock) {
             val candidates =
                 selectable[request.service].orEmpty().filter(request.mayUse).ifEmpty { return Placement.NoTarget }
-            val untried = candidates.filter { it.name !in request.tried }.ifEmpty { candidates }
-            val healthy = untried.filterNot { isInBackoff(it.name, now) }.ifEmpty { untried }
+            val paced = withPace(candidates, now)
+            val untried = paced.filter { it.target.name !in request.tried }.ifEmpty { paced }
+            val mostPreferred = preferred(untried).ifEmpty { return Placement.Full }
             selections++
-            val best = healthy.map { ranked(it, now) }.minWith(RankedTarget.BEST_FIRST)
+            val best = mostPreferred.map { ranked(it, now) }.minWith(RankedTarget.BEST_FIRST)
             if (best.online >= capacity(best.target)) Placement.Full else Placement.At(best.target)
         }
 
     /**
      * Selects a target of [service] with a free place for a batch item, or returns null if there is none.
      *
-     * If all targets are in backoff, the fault may be in this process, so any of them may be selected.
+     * If all targets are held back after failures, the fault may be in this process, so any of them may be selected.
      */
     public fun placeBatch(
         service: ServiceName,
         now: Instant,
     ): DirectTarget? =
         synchronized(lock) {
-            val candidates = selectable[service].orEmpty()
-            candidates
-                .filterNot { isInBackoff(it.name, now) }
-                .ifEmpty { candidates }
+            preferred(withPace(selectable[service].orEmpty(), now))
                 .map { FreePlaces(it, it.places - loadOf(it.name, now).total) }
                 .filter { it.free > 0 }
                 .sortedWith(compareByDescending<FreePlaces> { it.free }.thenBy { it.target.failureDomain != domain })
@@ -209,10 +227,21 @@
         return TargetLoad(reported.online + own.online, reported.batch + own.batch)
     }
 
-    private fun isInBackoff(
-        target: TargetName,
+    /** Returns those of [candidates] that may be sent a request now, with what [pacing] decides about them. */
+    private fun withPace(
+        candidates: List<DirectTarget>,
         now: Instant,
-    ): Boolean = failures[target]?.let { it.backoffUntil > now } ?: false
+    ): List<PacedTarget> {
+        selectedAt = now
+        return candidates
+            .map { PacedTarget(it, pacing.admission(it, loads, now)) }
+            .filter { it.decision != PaceDecision.FORBIDDEN }
+    }
+
+    private fun preferred(candidates: List<PacedTarget>): List<DirectTarget> {
+        val best = candidates.minOfOrNull { it.decision }
+        return candidates.filter { it.decision == best }.map { it.target }
+    }
 
     private fun count(
         target: TargetName,
@@ -228,9 +257,9 @@
         if (changed.total == 0) ownLoads.remove(target) else ownLoads[target] = changed
     }
 
-    private data class FailureStreak(
-        val length: Int,
-        val backoffUntil: Instant,
+    private data class PacedTarget(
+        val target: DirectTarget,
+        val decision: PaceDecision,
     )
 
     private data class FreePlaces(
@@ -239,8 +268,6 @@
     )
 
     private companion object {
-        const val MAXIMUM_DOUBLINGS = 6
-
         /** Odd multiplier, so that successive selections spread ties over all targets. */
         const val TIE_BREAK_MULTIPLIER = 0x9E3779B1.toInt()
         const val TIE_BREAK_MASK = 0xFFFF
