--- a/tanagerlane-core/src/main/kotlin/tanagerlane/pace/AdaptiveLimit.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/pace/AdaptiveLimit.kt
@@ -29,12 +29,6 @@
     private val observed = ObservedCounts()
     private val latencies = HashMap<ServiceName, Duration>()
 
-    /** Time at which the present decision is made, for [isAlive]. */
-    private var decidedAt = Instant.DISTANT_PAST
-    private val isAlive = { host: HostName ->
-        observed.heardAt(host)?.let { decidedAt - it <= settings.reportTime } ?: false
-    }
-
     /** Returns the window of [target], or null if it is at full pace. */
     fun window(target: TargetName): TargetWindow? = windows[target]?.takeIf { !it.isFull }
 
@@ -66,7 +60,6 @@
         now: Instant,
     ): PaceDecision {
         val window = window(target.name) ?: return PaceDecision.ADMITTED
-        decidedAt = now
         return when {
             window.isHeld(now) -> PaceDecision.HELD
             window.isProbed -> probe(target, window, loads, now)
@@ -152,8 +145,8 @@
         loads: TargetLoads,
         now: Instant,
     ): PaceDecision {
-        val rank = if (shares.hasEntry(isAlive) == !shares.isRunner) shares.ownRank(target.name, isAlive) else LAST_RANK
-        val turn = settings.probeStep * rank.coerceAtMost(LAST_RANK)
+        val rank = shares.ownRank(target.name).coerceAtMost(LAST_RANK)
+        val turn = settings.probeStep * rank
         val isFree = if (rank == 0) loads.own(target.name) == 0 else loads.ofAll(target.name, now).total == 0
         return if (isFree && window.timeSinceHold(now) >= turn) PaceDecision.PROBE else PaceDecision.HELD
     }
@@ -165,8 +158,8 @@
         now: Instant,
     ): PaceDecision {
         val inFlight = loads.ofAll(target.name, now).total
-        val least = if (window.isStalled(now)) 1 else 0
-        val share = shares.ownShare(window.size.toInt(), target.name, isAlive).coerceAtLeast(least)
+        val share =
+            maxOf(shares.ownListedShare(window.size.toInt(), target.name), leastShare(target, window, now))
         return when {
             inFlight >= window.size || loads.own(target.name) >= share -> PaceDecision.LIMITED
             inFlight == 0 -> PaceDecision.PROBE
@@ -174,6 +167,16 @@
         }
     }
 
+    /** Processes without a share follow in turn if those with one have no requests to send. */
+    private fun leastShare(
+        target: DirectTarget,
+        window: TargetWindow,
+        now: Instant,
+    ): Int {
+        val turn = settings.probeStep * shares.ownRank(target.name).coerceAtMost(LAST_RANK)
+        return if (window.timeSinceChange(now) - settings.growthTimeout >= turn) 1 else 0
+    }
+
     private fun windowFor(
         target: TargetName,
         now: Instant,
@@ -195,7 +198,7 @@
         /** Weight of the newest latency in the usual latency of a service. */
         const val LATENCY_WEIGHT = 0.05
 
-        /** Rank from which on processes probe at the same time. */
+        /** Rank from which on processes have their turn at the same time. */
         const val LAST_RANK = 6
     }
 }
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/pace/ObservedCounts.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/pace/ObservedCounts.kt
@@ -16,9 +16,6 @@
 internal class ObservedCounts {
     private val processes = HashMap<HostName, Process>()
 
-    /** Returns the last time at which a report of [host] was received, or null if there was none. */
-    fun heardAt(host: HostName): Instant? = processes[host]?.heardAt
-
     /** Discards the counts of [host]. */
     fun forget(host: HostName) {
         processes.remove(host)
@@ -43,7 +40,6 @@
     ): List<PaceChange> {
         val last = processes[report.host]?.takeIf { it.incarnation == report.incarnation }
         val process = last ?: Process(report.incarnation).also { processes[report.host] = it }
-        process.heardAt = now
         return report.paces.mapNotNull { counts ->
             val before = process.counts.put(counts.target, counts)
             if (last == null) {
@@ -86,7 +82,6 @@
     private class Process(
         val incarnation: Incarnation,
     ) {
-        var heardAt = Instant.DISTANT_PAST
         val counts = HashMap<TargetName, PaceCounts>()
         val failedAt = HashMap<TargetName, Instant>()
     }
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/pace/PaceSettings.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/pace/PaceSettings.kt
@@ -23,13 +23,12 @@
  * @property initialHold time for which a target is held back after a failure; doubles with each failed probe
  * @property maximumHold upper limit of the time for which a target is held back
  * @property probeStep time after which the next process may probe a target that the one before has not probed
- * @property growthTimeout time without growth of a window after which all processes may send within it
+ * @property growthTimeout time without growth of a window after which processes without a share in it may send, one after the other
  * @property limitTime time without failure after which a target is at full pace, however few requests it was sent
  * @property heldTime time without failure after which a held target counts as new
  * @property linger time for which a target that is at full pace again is reported, so that all processes learn of it
  * @property lateFactor multiple of the usual latency of a service beyond which an answer is late
  * @property lateMargin latency beyond that multiple that is still in time
- * @property reportTime time after its last report for which a process is taken to be alive
  */
 public data class PaceSettings(
     val coldShare: Double = 0.9,
@@ -43,7 +42,7 @@
     val memberRetention: Duration = 60.seconds,
     val firstWindow: Double = 2.0,
     val initialHold: Duration = 200.milliseconds,
-    val maximumHold: Duration = 2.seconds,
+    val maximumHold: Duration = 1.seconds,
     val probeStep: Duration = 300.milliseconds,
     val growthTimeout: Duration = 1.seconds,
     val limitTime: Duration = 10.seconds,
@@ -51,5 +50,4 @@
     val linger: Duration = 1.seconds,
     val lateFactor: Double = 3.0,
     val lateMargin: Duration = 100.milliseconds,
-    val reportTime: Duration = 1.seconds,
 )
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/pace/ProcessShares.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/pace/ProcessShares.kt
@@ -1,6 +1,5 @@
 package tanagerlane.pace
 
-import tanagerlane.model.HostName
 import tanagerlane.model.TargetName
 import tanagerlane.places.DirectTarget
 import tanagerlane.routing.RendezvousHash
@@ -18,7 +17,9 @@
     private val settings: PaceSettings,
 ) {
     private val seenAt = HashMap<PacedProcess, Instant>().apply { put(own, Instant.DISTANT_FUTURE) }
+    private var listed = emptySet<PacedProcess>()
     private val rankings = HashMap<TargetName, Ranking>()
+    private val listedRankings = HashMap<TargetName, Ranking>()
 
     /** Replaces the registered processes; one that is missing keeps its share for a while. */
     fun configure(
@@ -31,67 +32,72 @@
         if (seenAt.keys != before) {
             rankings.clear()
         }
+        if (registered.size != listed.size || !listed.containsAll(registered)) {
+            listed = registered.toSet()
+            listedRankings.clear()
+        }
     }
 
-    /** Whether this process runs batch items only. */
-    val isRunner: Boolean get() = own.isRunner
-
     /** Discards what is kept of targets other than [targets]. */
     fun retainTargets(targets: Collection<DirectTarget>) {
         if (rankings.size > targets.size) {
-            rankings.keys.retainAll(targets.mapTo(HashSet()) { it.name })
+            val names = targets.mapTo(HashSet()) { it.name }
+            rankings.keys.retainAll(names)
+            listedRankings.keys.retainAll(names)
         }
     }
 
-    /** Returns the share of this process in [whole] requests to [target], divided among the processes in [among]. */
+    /** Returns the share of this process in [whole] requests to [target], divided among all that may be running. */
     fun ownShare(
         whole: Int,
         target: TargetName,
-        among: (HostName) -> Boolean = { true },
+    ): Int = ownShare(whole, ranking(target))
+
+    /** Returns the share of this process in [whole] requests to [target], divided among those that are registered. */
+    fun ownListedShare(
+        whole: Int,
+        target: TargetName,
+    ): Int = ownShare(whole, listedRanking(target))
+
+    /** Returns how many registered processes send to [target] before this one, if only one may; entries come first. */
+    fun ownRank(target: TargetName): Int {
+        val ranking = listedRanking(target)
+        return if (own.isRunner) ranking.entries.size + ranking.ownIndex else ranking.ownIndex
+    }
+
+    private fun ownShare(
+        whole: Int,
+        ranking: Ranking,
     ): Int {
-        val ranking = ranking(target)
-        val entries = ranking.entries.count { it == own.host || among(it) }
-        val runners = ranking.runners.count { it == own.host || among(it) }
         val ofRunners =
             when {
-                entries == 0 -> whole
-                runners == 0 -> 0
+                ranking.entries.isEmpty() -> whole
+                ranking.runners.isEmpty() -> 0
                 else -> whole / settings.runnerDivisor
             }
         val part = if (own.isRunner) ofRunners else whole - ofRunners
-        val members = if (own.isRunner) runners else entries
-        return part / members + if (ownRank(target, among) < part % members) 1 else 0
+        val members = if (own.isRunner) ranking.runners.size else ranking.entries.size
+        return part / members + if (ranking.ownIndex < part % members) 1 else 0
     }
 
-    /** Returns how many of the processes in [among] of the own role come before this one at [target]. */
-    fun ownRank(
-        target: TargetName,
-        among: (HostName) -> Boolean,
-    ): Int {
-        val ranking = ranking(target)
-        val ranked = if (own.isRunner) ranking.runners else ranking.entries
-        var rank = 0
-        for (host in ranked) {
-            if (host == own.host) return rank
-            if (among(host)) rank++
-        }
-        return rank
-    }
+    private fun ranking(target: TargetName): Ranking = rankings.getOrPut(target) { ranked(target, seenAt.keys) }
 
-    /** Whether there is an entry among the processes in [among], or this process is one. */
-    fun hasEntry(among: (HostName) -> Boolean): Boolean =
-        !own.isRunner || seenAt.keys.any { !it.isRunner && among(it.host) }
+    private fun listedRanking(target: TargetName): Ranking =
+        listedRankings.getOrPut(target) { ranked(target, listed + own) }
 
-    private fun ranking(target: TargetName): Ranking =
-        rankings.getOrPut(target) {
-            val (runners, entries) =
-                RendezvousHash.ranked(target.text, seenAt.keys) { it.host.text }.partition { it.isRunner }
-            Ranking(entries.map { it.host }, runners.map { it.host })
-        }
+    private fun ranked(
+        target: TargetName,
+        processes: Collection<PacedProcess>,
+    ): Ranking {
+        val (runners, entries) =
+            RendezvousHash.ranked(target.text, processes) { it.host.text }.partition { it.isRunner }
+        return Ranking(entries, runners, ownIndex = (if (own.isRunner) runners else entries).indexOf(own))
+    }
 
-    /** Processes in the order in which they send to a target. */
+    /** Processes in the order in which they send to a target, and the place of this one among those of its role. */
     private class Ranking(
-        val entries: List<HostName>,
-        val runners: List<HostName>,
+        val entries: List<PacedProcess>,
+        val runners: List<PacedProcess>,
+        val ownIndex: Int,
     )
 }
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/pace/TargetWindow.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/pace/TargetWindow.kt
@@ -8,10 +8,10 @@
 /**
  * The requests that all processes may have in flight at one target that has just been registered or has failed.
  *
- * The window doubles with each round of answers in time, and is halved by a late one and by a failure. Failures that
- * more than one process has seen, or this one repeatedly, hold the target back until a probe was answered. Failures
- * that only one other process reports may have their cause there, so they halve the window no further than once.
- * Not thread-safe.
+ * The window doubles with each round of answers in time; once a window was too much, it doubles up to half of that one
+ * and grows by one in each round from there on. It is halved by a late answer and by a failure. Several failures
+ * without an answer between them hold the target back until a probe was answered. Failures that only one other process
+ * reports may have their cause there, so they halve the window no further than once. Not thread-safe.
  */
 internal class TargetWindow(
     private val settings: PaceSettings,
@@ -20,13 +20,18 @@
     now: Instant,
 ) {
     private val failedBy = HashSet<HostName>()
+    private var failures = 0
     private var ownFailures = 0
     private var consecutiveHolds = 0
     private var heldUntil = Instant.DISTANT_PAST
     private var lastFailureAt = now
     private var changedAt = now
+    private var shrunkAt = Instant.DISTANT_PAST
     private var fullSince: Instant? = null
 
+    /** Window up to which it doubles in each round of answers. */
+    private var doublesUpTo = places.toDouble()
+
     /** Requests that all processes together may have in flight. */
     var size = window.coerceIn(1.0, places.toDouble())
         private set
@@ -46,19 +51,21 @@
         now: Instant,
     ) {
         failedBy.clear()
+        failures = 0
         consecutiveHolds = 0
         if (isOwn) {
             ownFailures = 0
-            heldUntil = minOf(heldUntil, now)
         }
         if (isProbed) {
             isProbed = false
             heldUntil = minOf(heldUntil, now)
+            doublesUpTo = places.toDouble()
             resize(settings.firstWindow, now)
-        } else if (late == 0L) {
-            resize(size + minOf(answers.toDouble(), size), now)
-        } else {
+        } else if (late > 0) {
             shrink(now)
+        } else {
+            val growth = if (size < doublesUpTo) minOf(answers.toDouble(), size) else minOf(answers / size, 1.0)
+            resize(size + growth, now)
         }
     }
 
@@ -69,14 +76,15 @@
         now: Instant,
     ) {
         failedBy += host
+        failures++
         lastFailureAt = now
         if (isOwn) ownFailures++
         val isConfirmed = ownFailures > 1 || failedBy.size > 1
-        if (isConfirmed) {
+        if (isConfirmed && failures >= FAILURES_UNTIL_PROBED) {
             isProbed = true
             fullSince = null
             size = 1.0
-        } else if (isOwn || size > places * LONE_SHARE) {
+        } else if (isOwn || isConfirmed || size > places * LONE_SHARE) {
             shrink(now)
         }
         if (isOwn || isConfirmed) {
@@ -110,8 +118,8 @@
     /** Returns the time since the hold after the last failure has ended; negative before its end. */
     fun timeSinceHold(now: Instant): Duration = now - heldUntil
 
-    /** Whether the window has not changed for so long that the processes with a share in it may have no requests. */
-    fun isStalled(now: Instant): Boolean = now - changedAt > settings.growthTimeout
+    /** Returns the time since the window has changed or a hold has ended, whichever was later. */
+    fun timeSinceChange(now: Instant): Duration = now - maxOf(changedAt, heldUntil)
 
     /** Requests that fail during a hold were sent before it, so only the first failure lengthens the next hold. */
     private fun hold(now: Instant) {
@@ -122,11 +130,14 @@
         }
     }
 
+    /** Several signs of the same overload halve the window only once. */
     private fun shrink(now: Instant) {
-        if (now - changedAt >= settings.initialHold || isFull || size > places * LONE_SHARE) {
+        if (now - shrunkAt >= settings.initialHold) {
             fullSince = null
             size = (size / 2).coerceAtLeast(1.0)
+            doublesUpTo = size
             changedAt = now
+            shrunkAt = now
         }
     }
 
@@ -144,6 +155,9 @@
     companion object {
         private const val MAXIMUM_DOUBLINGS = 6
 
+        /** Failures without an answer between them after which a target is probed. */
+        private const val FAILURES_UNTIL_PROBED = 3
+
         /** Share of the places to which failures that only one other process reports reduce a window. */
         private const val LONE_SHARE = 0.5
 
