Apply the pace of targets in entries and runners

Cause: the limits were not used by any process.

Change: FleetPace creates the load balancer with the limits that the settings and the configuration ask for, passes the registered processes to it and shows what limits each target in metrics, log and status. Answers carry the time since their request was sent; forwarder and item runner report first answers with it, and refusals of targets. Reports name at most eight targets, so that they stay within a datagram.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/pace/AdaptiveLimit.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/pace/AdaptiveLimit.kt
@@ -126,7 +126,10 @@
         if (windows.isEmpty()) {
             emptyList()
         } else {
-            windows.map { (target, window) -> countsOf(target).copy(window = window.size.toInt()) }
+            windows.entries
+                .sortedByDescending { it.value.changedAt }
+                .take(settings.reportedTargets)
+                .map { (target, window) -> countsOf(target).copy(window = window.size.toInt()) }
         }
 
     /** A process that has just started takes over what the others have found. */
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/pace/DeclaredLimit.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/pace/DeclaredLimit.kt
@@ -65,6 +65,9 @@
         }
     }
 
+    /** Whether the service of [target] declares a rate. */
+    fun isLimited(target: DirectTarget): Boolean = rateOf(target) != null
+
     /** Returns the time for which [target] is taken to stay cold; zero if its service declares no rate. */
     fun coldTime(
         target: DirectTarget,
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/pace/PaceSettings.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/pace/PaceSettings.kt
@@ -29,6 +29,7 @@
  * @property linger time for which a target that is at full pace again is reported, so that all processes learn of it
  * @property lateFactor multiple of the usual latency of a service beyond which an answer is late
  * @property lateMargin latency beyond that multiple that is still in time
+ * @property reportedTargets targets that a report names at most, those observed last, so that it fits into a datagram
  */
 public data class PaceSettings(
     val coldShare: Double = 0.9,
@@ -50,4 +51,5 @@
     val linger: Duration = 1.seconds,
     val lateFactor: Double = 3.0,
     val lateMargin: Duration = 100.milliseconds,
+    val reportedTargets: Int = 8,
 )
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/pace/TargetPace.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/pace/TargetPace.kt
@@ -119,6 +119,7 @@
             TargetState(
                 target = target.name,
                 coldTime = declared.coldTime(target, now),
+                isColdTimeTold = target.coldTime != null || !declared.isLimited(target),
                 window = window?.size?.toInt(),
                 isHeld = window?.let { it.isProbed || it.isHeld(now) } ?: false,
             )
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/pace/TargetWindow.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/pace/TargetWindow.kt
@@ -25,13 +25,16 @@
     private var consecutiveHolds = 0
     private var heldUntil = Instant.DISTANT_PAST
     private var lastFailureAt = now
-    private var changedAt = now
     private var shrunkAt = Instant.DISTANT_PAST
     private var fullSince: Instant? = null
 
     /** Window up to which it doubles in each round of answers. */
     private var doublesUpTo = places.toDouble()
 
+    /** Time of the last observation. */
+    var changedAt = now
+        private set
+
     /** Requests that all processes together may have in flight. */
     var size = window.coerceIn(1.0, places.toDouble())
         private set
@@ -62,6 +65,7 @@
             doublesUpTo = places.toDouble()
             resize(settings.firstWindow, now)
         } else if (late > 0) {
+            changedAt = now
             shrink(now)
         } else {
             val growth = if (size < doublesUpTo) minOf(answers.toDouble(), size) else minOf(answers / size, 1.0)
@@ -78,6 +82,7 @@
         failedBy += host
         failures++
         lastFailureAt = now
+        changedAt = now
         if (isOwn) ownFailures++
         val isConfirmed = ownFailures > 1 || failedBy.size > 1
         if (isConfirmed && failures >= FAILURES_UNTIL_PROBED) {
@@ -95,6 +100,7 @@
     /** Records that the target has refused a request of this process, which waits before it sends the next one. */
     fun rejected(now: Instant) {
         lastFailureAt = now
+        changedAt = now
         shrink(now)
         hold(now)
     }
@@ -136,7 +142,6 @@
             fullSince = null
             size = (size / 2).coerceAtLeast(1.0)
             doublesUpTo = size
-            changedAt = now
             shrunkAt = now
         }
     }
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/places/DirectTarget.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/places/DirectTarget.kt
@@ -20,5 +20,5 @@
     val failureDomain: FailureDomain,
     val places: Int,
     val leaving: Boolean = false,
-    val coldTime: Duration? = null,
+    val coldTime: Duration? = Duration.ZERO,
 )
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/AnswerForwarder.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/AnswerForwarder.kt
@@ -52,6 +52,8 @@
     ): AttemptEnd {
         if (answer.isMisdirected) {
             loadBalancer.failed(target.name, now())
+        } else {
+            loadBalancer.pace { rejected(target.name, now()) }
         }
         return AttemptEnd.NOT_RUN
     }
@@ -70,6 +72,7 @@
         if (isFailure) {
             loadBalancer.failed(target.name, now())
         } else {
+            recordAnswered(target, answer)
             loadBalancer.succeeded(target.name)
         }
         if (answer.status in SUCCESS) {
@@ -132,6 +135,11 @@
         }
     }
 
+    private fun recordAnswered(
+        target: DirectTarget,
+        answer: TargetAnswer,
+    ): Unit = loadBalancer.pace { answered(target.name, answer.timeSinceSent, now()) }
+
     private suspend fun forwardStream(
         request: OnlineRequest,
         target: DirectTarget,
@@ -160,6 +168,7 @@
             answer.forget(bytes.length() - (assembler.bufferedBytes - bufferedBefore))
             if (!hasEvents && events.isNotEmpty()) {
                 hasEvents = true
+                recordAnswered(target, answer)
                 promptGuard.answered(request.sharedParts)
             }
             for (event in events) {
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
@@ -39,7 +39,6 @@
 import tanagerlane.model.HostName
 import tanagerlane.model.Incarnation
 import tanagerlane.model.PromptPart
-import tanagerlane.places.LoadBalancer
 import tanagerlane.quarantine.PromptQuarantine
 import tanagerlane.runtime.MonotonicClock
 import tanagerlane.runtime.OperatorServer
@@ -81,7 +80,9 @@
     private val endpoint = WireEndpoint(hello(), scope, WIRE_LIMITS, clock::now)
     private val fleet: Fleet =
         Fleet(vertx, hello(), scope, endpoint, clock::now, ::receive) { runner.requestSchedulingPass() }
-    private val loadBalancer = LoadBalancer(settings.host.name, settings.host.failureDomain)
+    private val pace =
+        FleetPace(settings, startedAt, { fleet.members }, { configuration?.services?.get(it) }, clock::now)
+    private val loadBalancer = pace.loadBalancer
     private val rates = SharedRates()
     private val headers = RequestHeaders(deployment.headers)
     private val answerBudget =
@@ -106,11 +107,11 @@
         PlaceReports(fleet, incarnation, loadBalancer, rates, clock::now, { isLeaving }, { fleet.entries })
 
     private val configurationSynchronizer =
-        synchronizer(deployment.configuration.kind, CONFIGURATION_TIMES, ::applyConfiguration)
-    private val targetSynchronizer = synchronizer(deployment.targets.kind, TARGET_TIMES, targets::update)
-    private val jobSynchronizer = synchronizer(JobStorage.JOBS_KIND, JOB_TIMES, ::applyJobs)
-    private val memberSynchronizer = synchronizer(Membership.KIND, MEMBER_TIMES, membership::update)
-    private val removalSynchronizer = synchronizer(deployment.removals.kind, REMOVAL_TIMES, ::applyRemovals)
+        synchronizer(deployment.configuration.kind, ViewTimes.CONFIGURATION, ::applyConfiguration)
+    private val targetSynchronizer = synchronizer(deployment.targets.kind, ViewTimes.TARGETS, targets::update)
+    private val jobSynchronizer = synchronizer(JobStorage.JOBS_KIND, ViewTimes.JOBS, ::applyJobs)
+    private val memberSynchronizer = synchronizer(Membership.KIND, ViewTimes.MEMBERS, membership::update)
+    private val removalSynchronizer = synchronizer(deployment.removals.kind, ViewTimes.REMOVALS, ::applyRemovals)
     private val synchronizers =
         listOf(configurationSynchronizer, targetSynchronizer, jobSynchronizer, memberSynchronizer, removalSynchronizer)
             .associateBy { it.view.kind }
@@ -131,7 +132,10 @@
                     targetClient,
                     headers,
                     deployment.headers,
-                    onAnswered = { promptGuard.answered(sharedParts(it)) },
+                    onAnswered = { item, target, latency ->
+                        promptGuard.answered(sharedParts(item))
+                        loadBalancer.pace { answered(target.name, latency, clock.now()) }
+                    },
                     onLost = { item, target, hasBegun ->
                         promptGuard.lost(target, item.id.text, sharedParts(item), hasBegun)
                     },
@@ -206,6 +210,7 @@
 
     init {
         metrics.observe(answerBudget)
+        metrics.observe(pace)
     }
 
     /** Starts to serve; returns the address at which other processes connect, or why it could not be bound. */
@@ -322,6 +327,7 @@
             delay(TICK_INTERVAL)
             fleet.detectLostPeers()
             targets.expire()
+            pace.update()
         }
     }
 
@@ -458,7 +464,7 @@
     private fun status(): String =
         """{"role":"${settings.role.name.lowercase()}","host":"${settings.host.name}",""" +
             """"revision":${configuration?.revision?.number ?: 0},"targets":${targets.size},""" +
-            """"reachable":${fleet.reachable.size},"leaving":$isLeaving}"""
+            """"reachable":${fleet.reachable.size},"leaving":$isLeaving${pace.status()}}"""
 
     private companion object {
         /** Datagrams show which processes are reachable, so connections need few pings. */
@@ -477,13 +483,6 @@
 
         /** Size of the heap as a multiple of the default budget for unfinished answers, which are copied in places. */
         const val HEAP_PER_ANSWER_BUDGET = 8
-        val CONFIGURATION_TIMES =
-            ViewTimes(watchTimeout = 1.seconds, pause = 50.milliseconds, updateTimeout = 1400.milliseconds)
-        val TARGET_TIMES =
-            ViewTimes(watchTimeout = 1.seconds, pause = 400.milliseconds, updateTimeout = 1000.milliseconds)
-        val JOB_TIMES = ViewTimes(watchTimeout = 2.seconds, pause = 50.milliseconds, updateTimeout = 2500.milliseconds)
-        val REMOVAL_TIMES = ViewTimes(watchTimeout = 2.seconds, pause = 500.milliseconds, updateTimeout = 3.seconds)
-        val MEMBER_TIMES = ViewTimes(watchTimeout = 5.seconds, pause = 200.milliseconds, updateTimeout = 6.seconds)
         val STARTUP_GRACE_PERIOD = StartupGracePeriod(duration = Fleet.SILENCE_TIMEOUT)
         val LOOP_RETRY_PAUSE = 100.milliseconds
         val TICK_INTERVAL = 200.milliseconds
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectMetrics.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectMetrics.kt
@@ -2,9 +2,11 @@
 
 import io.micrometer.core.instrument.Counter
 import io.micrometer.core.instrument.FunctionCounter
+import io.micrometer.core.instrument.Gauge
 import io.micrometer.core.instrument.MeterRegistry
 import io.micrometer.core.instrument.Timer
 import tanagerlane.model.RefusalReason
+import tanagerlane.pace.PaceRegime
 import tanagerlane.runtime.StoreCall
 import tanagerlane.serving.AttemptEnd
 import tanagerlane.serving.RouteKind
@@ -59,6 +61,22 @@
             .register(registry)
     }
 
+    /** Shows how many targets are limited, and how often a target was passed over on account of its limit. */
+    fun observe(pace: FleetPace) {
+        for (regime in PaceRegime.entries) {
+            Gauge
+                .builder("tanagerlane.targets.paced", pace) { it.count(regime).toDouble() }
+                .tag("limit", regime.name.lowercase())
+                .register(registry)
+        }
+        for ((limit, count) in mapOf("declared" to FleetPace::forbidden, "adaptive" to FleetPace::heldBack)) {
+            FunctionCounter
+                .builder("tanagerlane.targets.passed.over", pace) { count(it).toDouble() }
+                .tag("limit", limit)
+                .register(registry)
+        }
+    }
+
     /** Returns the counter of attempts that ended with [end]. */
     fun attempts(end: AttemptEnd): Counter = attempts.getValue(end)
 
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ItemRunner.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ItemRunner.kt
@@ -13,13 +13,14 @@
 import tanagerlane.streams.EventAssembler
 import tanagerlane.streams.PartialEventTimer
 import tanagerlane.streams.ResumptionCheck
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
 /**
  * Runs items of jobs at targets; a run resumes after the last event that an earlier run received.
  *
- * @param onAnswered called when a target has written the first event of a run
+ * @param onAnswered called when a target has written the first event of a run, with the time since the run began
  * @param onLost called when the connection of a run ended before its first event, with whether the target had begun to
  *   answer
  */
@@ -27,7 +28,7 @@
     private val client: TargetClient,
     private val headers: RequestHeaders,
     private val headerNames: HeaderNames,
-    private val onAnswered: (RawItem) -> Unit = {},
+    private val onAnswered: (RawItem, DirectTarget, latency: Duration) -> Unit = { _, _, _ -> },
     private val onLost: (RawItem, DirectTarget, hasBegun: Boolean) -> Unit = { _, _, _ -> },
     private val now: () -> Instant = MonotonicClock()::now,
 ) {
@@ -124,7 +125,7 @@
             answer.forget(bytes.length() - (assembler.bufferedBytes - bufferedBefore))
             if (!hasEvents && events.isNotEmpty()) {
                 hasEvents = true
-                onAnswered(progress.item)
+                onAnswered(progress.item, target, answer.timeSinceSent)
             }
             for (event in events) {
                 if (resumption?.accepts(event) == false) {
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/PlaceReports.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/PlaceReports.kt
@@ -96,6 +96,7 @@
             admissions = rates.report(now()),
             leaving = isLeaving(),
             unheard = fleet.unreachable.take(MAXIMUM_UNREACHABLE),
+            paces = places.pace { report(now()) },
         )
 
     private data class ReportVersion(
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetClient.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetClient.kt
@@ -58,7 +58,8 @@
         timeout: Duration,
     ): Result<TargetAnswer, CallFault> {
         val connection = connect(target, request.id, timeout).getOrElse { return Err(it) }
-        val exchange = TargetExchange(connection, idle, request.id, requestIdHeader, budget)
+        val sentAt = now()
+        val exchange = TargetExchange(connection, idle, request.id, requestIdHeader, budget) { now() - sentAt }
         var answer: Result<TargetAnswer, CallFault>? = null
         try {
             answer = withTimeoutOrNull(timeout) { exchange.run(request) }
@@ -154,6 +155,7 @@
     private val id: String,
     private val requestIdHeader: String,
     budget: AnswerBudget,
+    private val age: () -> Duration,
 ) {
     private val share = budget.open(::endOverBudget)
     private val body = AnswerPieces { share.add(it.toLong()) }
@@ -240,7 +242,7 @@
             return Err(CallFault.Lost("final answer has an interim status: ${response.statusCode()}"))
         }
         return Ok(
-            TargetAnswer(response.statusCode(), response.headers(), body, share) {
+            TargetAnswer(response.statusCode(), response.headers(), body, share, age) {
                 if (!isComplete) connection.close()
             },
         )
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetDirectory.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetDirectory.kt
@@ -33,7 +33,7 @@
     /** Stops the use of targets whose registration lapsed too long ago. */
     fun expire() {
         val usable = targets.usable(now())
-        loadBalancer.configure(usable)
+        loadBalancer.configure(usable, now())
         client.keepOnly(usable.mapTo(HashSet()) { it.address })
     }
 
