Serve cold and recovering targets in processes on loopback

Cause: the wiring of the limits had only been run in virtual time.

Lines of the log give the cold time in whole milliseconds.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/FleetPace.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/FleetPace.kt
@@ -56,12 +56,12 @@
         val changed = current.filter { it.regime != (states[it.target]?.regime ?: PaceRegime.FULL) }
         changed.take(MAXIMUM_LINES).forEach {
             logger.info(
-                "pace changed target={} from={} to={} window={} cold={}",
+                "pace changed target={} from={} to={} window={} cold_ms={}",
                 it.target,
                 states[it.target]?.regime ?: PaceRegime.FULL,
                 it.regime,
                 it.window,
-                it.coldTime,
+                it.coldTime.inWholeMilliseconds,
             )
         }
         if (changed.size > MAXIMUM_LINES) {
@@ -72,7 +72,11 @@
             .take(
                 MAXIMUM_LINES,
             ).forEach {
-                logger.warn("registration tells no cold time target={} taken_as={}", it.target, it.coldTime)
+                logger.warn(
+                    "registration tells no cold time target={} cold_ms={}",
+                    it.target,
+                    it.coldTime.inWholeMilliseconds,
+                )
             }
         states = current.associateBy { it.target }
     }
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeDeployment.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeDeployment.kt
@@ -25,6 +25,7 @@
 import tanagerlane.serving.CallerLimits
 import tanagerlane.serving.JobTerms
 import tanagerlane.serving.RouteKind
+import tanagerlane.serving.ServiceSettings
 import tanagerlane.serving.ServingConfiguration
 import tanagerlane.serving.ServingRoute
 import tanagerlane.serving.ServingWorkspace
@@ -44,6 +45,8 @@
     private val vertx: Vertx,
     private val targets: List<FakeTarget>,
     private val rate: Rate? = null,
+    private val coldRate: Double? = null,
+    private val pacing: Boolean = false,
 ) {
     val store = MemoryObjectStore()
     private val service = ServiceName("models")
@@ -112,6 +115,7 @@
                     callerAddress = "127.0.0.1:${ports[0]}"
                     ${readyPort?.let { "readyAddress = '127.0.0.1:$it'" }.orEmpty()}
                     stopTime = "$stopTime"
+                    pacing = $pacing
                     [host]
                     name = "$name"
                     failureDomain = "a"
@@ -171,7 +175,7 @@
     ): DirectTarget {
         val ownService = registration.substringAfter(' ', "").ifEmpty { null }?.let(::ServiceName) ?: service
         val address = "127.0.0.1:${registration.substringBefore(' ')}"
-        return DirectTarget(TargetName(name), ownService, address, FailureDomain("a"), places = 4)
+        return DirectTarget(TargetName(name), ownService, address, FailureDomain("a"), places = 4, coldTime = null)
     }
 
     /** Returns one item for each line of [body]. */
@@ -210,6 +214,7 @@
         workspaces = mapOf(workspace to ServingWorkspace(workspace, rate, priority = null)),
         keys = keys.associateWith { workspace },
         limits = CallerLimits(maximumBodyBytes = 100_000),
+        services = mapOf(service to ServiceSettings(service, coldRate?.let { 60.seconds }, coldRate)),
     )
 
     /** Returns a route of the service of all targets. */
