--- a/tanagerlane-core/src/main/kotlin/tanagerlane/pace/ObservedCounts.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/pace/ObservedCounts.kt
@@ -51,7 +51,7 @@
     }
 
     /**
-     * Whether [host] has lately failed at most of [targets] targets, so that the cause is probably at the host.
+     * Whether [host] has lately failed at so many of [targets] targets, so that the cause is probably at the host.
      */
     fun isSuspect(
         host: HostName,
@@ -60,7 +60,7 @@
     ): Boolean {
         val failedAt = processes[host]?.failedAt ?: return false
         failedAt.values.removeIf { now - it > SUSPECT_TIME }
-        return targets > 1 && failedAt.size * 2 > targets
+        return targets > 1 && failedAt.size * SUSPECT_DIVISOR > targets
     }
 
     private fun changeOf(
@@ -90,6 +90,9 @@
         /** Largest change that is believed, so that a malformed report does not overflow sums. */
         const val MAXIMUM_CHANGE = 1_000_000L
 
+        /** A process that fails at more than one in this many targets is suspect; a failure domain has fewer of them. */
+        const val SUSPECT_DIVISOR = 3
+
         /** Time for which a failure counts towards the suspicion against the process that reports it. */
         val SUSPECT_TIME = 3.seconds
     }
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/pace/PaceReplayTest.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/pace/PaceReplayTest.kt
@@ -38,6 +38,17 @@
                 }
             }
         }
+
+        // Guards against one process that reaches no target and makes the others hold all targets back.
+        listOf(1, 2).forEach { faulty ->
+            test("entries are served beside $faulty whose requests all fail") {
+                val scene = PaceScene("faulty entries", faulty = faulty)
+                val paced = SEEDS.map { PaceSimulation(scene, it).run() }
+                val backoff = SEEDS.map { PaceSimulation(scene.copy(pacing = false), it).run() }
+                println("$faulty faulty: paced ${figures(paced)}, backoff ${figures(backoff)}")
+                figures(paced).servedShare shouldBeGreaterThanOrEqual figures(backoff).servedShare - 0.01
+            }
+        }
     }) {
     private companion object {
         val SEEDS = 1..8
