Let runners and the last entries probe in turn

Cause: processes from the seventh on had the same turn to probe a held target, so that up to 12 runners could probe it together.

Change: each entry has a turn of its own; runners have every other turn.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/pace/AdaptiveLimit.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/pace/AdaptiveLimit.kt
@@ -148,10 +148,15 @@
         loads: TargetLoads,
         now: Instant,
     ): PaceDecision {
-        val rank = shares.ownRank(target.name).coerceAtMost(LAST_RANK)
-        val turn = settings.probeStep * rank
-        val isFree = if (rank == 0) loads.own(target.name) == 0 else loads.ofAll(target.name, now).total == 0
-        return if (isFree && window.timeSinceHold(now) >= turn) PaceDecision.PROBE else PaceDecision.HELD
+        val turn = shares.ownTurn(target.name)
+        val isFree = if (turn == 0) loads.own(target.name) == 0 else loads.ofAll(target.name, now).total == 0
+        return if (isFree &&
+            window.timeSinceHold(now) >= settings.probeStep * turn
+        ) {
+            PaceDecision.PROBE
+        } else {
+            PaceDecision.HELD
+        }
     }
 
     private fun withinWindow(
@@ -176,8 +181,8 @@
         window: TargetWindow,
         now: Instant,
     ): Int {
-        val turn = settings.probeStep * shares.ownRank(target.name).coerceAtMost(LAST_RANK)
-        return if (window.timeSinceChange(now) - settings.growthTimeout >= turn) 1 else 0
+        val waited = window.timeSinceChange(now) - settings.growthTimeout
+        return if (waited >= settings.probeStep * shares.ownTurn(target.name)) 1 else 0
     }
 
     private fun windowFor(
@@ -200,8 +205,5 @@
     private companion object {
         /** Weight of the newest latency in the usual latency of a service. */
         const val LATENCY_WEIGHT = 0.05
-
-        /** Rank from which on processes have their turn at the same time. */
-        const val LAST_RANK = 6
     }
 }
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/pace/ProcessShares.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/pace/ProcessShares.kt
@@ -59,10 +59,14 @@
         target: TargetName,
     ): Int = ownShare(whole, listedRanking(target))
 
-    /** Returns how many registered processes send to [target] before this one, if only one may; entries come first. */
-    fun ownRank(target: TargetName): Int {
+    /**
+     * Returns the turn of this process, from 0, where registered processes send to [target] one after the other.
+     *
+     * Entries have all turns; runners share every other one with them, as entries may have no requests for a while.
+     */
+    fun ownTurn(target: TargetName): Int {
         val ranking = listedRanking(target)
-        return if (own.isRunner) ranking.entries.size + ranking.ownIndex else ranking.ownIndex
+        return if (own.isRunner && ranking.entries.isNotEmpty()) (ranking.ownIndex + 1) * 2 else ranking.ownIndex
     }
 
     private fun ownShare(
