--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DaemonStatus.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DaemonStatus.kt
@@ -6,20 +6,25 @@
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
 
-/** State of a process for its operators. */
+/**
+ * State of a process for its operators.
+ *
+ * @param paces returns the fields on targets whose requests are limited, each after a comma
+ */
 internal class DaemonStatus(
     private val settings: DirectSettings,
     private val revision: () -> Long,
     private val targets: TargetDirectory,
     private val fleet: Fleet,
     private val isLeaving: () -> Boolean,
+    private val paces: () -> String,
     private val evacuations: () -> Map<FailureDomain, Duration>?,
 ) {
     /** Returns the state as a JSON object; evacuations, with their age in seconds, only where they are watched. */
     fun text(): String =
         """{"role":"${settings.role.name.lowercase()}","host":"${settings.host.name}",""" +
             """"revision":${revision()},"targets":${targets.size},""" +
-            """"reachable":${fleet.reachable.size},"leaving":${isLeaving()}${evacuationsField()}}"""
+            """"reachable":${fleet.reachable.size},"leaving":${isLeaving()}${evacuationsField()}${paces()}}"""
 
     private fun evacuationsField(): String {
         val ages = evacuations() ?: return ""
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
@@ -39,7 +39,6 @@
 import tanagerlane.model.HostName
 import tanagerlane.model.Incarnation
 import tanagerlane.model.PromptPart
-import tanagerlane.places.LoadBalancer
 import tanagerlane.quarantine.PromptQuarantine
 import tanagerlane.runtime.MonotonicClock
 import tanagerlane.runtime.OperatorServer
@@ -82,7 +81,9 @@
     private val endpoint = WireEndpoint(hello(), scope, WIRE_LIMITS, clock::now)
     private val fleet: Fleet =
         Fleet(vertx, hello(), scope, endpoint, clock::now, ::receive) { runner.requestSchedulingPass() }
-    private val loadBalancer = LoadBalancer(settings.host.name, settings.host.failureDomain)
+    private val pace =
+        FleetPace(settings, startedAt, { fleet.members }, { configuration?.services?.get(it) }, clock::now)
+    private val loadBalancer = pace.loadBalancer
     private val rates = SharedRates()
     private val headers = RequestHeaders(deployment.headers)
     private val answerBudget =
@@ -160,7 +161,10 @@
                     targetClient,
                     headers,
                     deployment.headers,
-                    onAnswered = { promptGuard.answered(sharedParts(it)) },
+                    onAnswered = { item, target, latency ->
+                        promptGuard.answered(sharedParts(item))
+                        loadBalancer.pace { answered(target.name, latency, clock.now()) }
+                    },
                     onLost = { item, target, hasBegun ->
                         promptGuard.lost(target, item.id.text, sharedParts(item), hasBegun)
                     },
@@ -232,7 +236,7 @@
             now = clock::now,
         )
     private val status =
-        DaemonStatus(settings, { configuration?.revision?.number ?: 0 }, targets, fleet, { isLeaving }) {
+        DaemonStatus(settings, { configuration?.revision?.number ?: 0 }, targets, fleet, { isLeaving }, pace::status) {
             evacuations?.inForce?.ages(clock.now())
         }
     private val operatorServer = OperatorServer(vertx, registry, ready = { !isLeaving }, status = status::text)
@@ -245,6 +249,7 @@
     init {
         metrics.observe(answerBudget)
         evacuations?.let(metrics::observe)
+        metrics.observe(pace)
     }
 
     /** Starts to serve; returns the address at which other processes connect, or why it could not be bound. */
@@ -343,6 +348,7 @@
             delay(TICK_INTERVAL)
             fleet.detectLostPeers()
             targets.expire()
+            pace.update()
         }
     }
 
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetDirectory.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetDirectory.kt
@@ -38,7 +38,7 @@
     /** Stops the use of targets that are evacuated, or whose registration lapsed too long ago. */
     fun expire() {
         val usable = targets.usable(now())
-        loadBalancer.configure(if (evacuations == null) usable else evacuations.permitted(usable))
+        loadBalancer.configure(if (evacuations == null) usable else evacuations.permitted(usable), now())
         client.keepOnly(usable.mapTo(HashSet()) { it.address })
     }
 
