--- a/tanagerlane-core/src/main/kotlin/tanagerlane/places/LoadBalancer.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/places/LoadBalancer.kt
@@ -117,6 +117,20 @@
             if (best.online >= capacity(best.target)) Placement.Full else Placement.At(best.target)
         }
 
+    /** Returns how many more online requests the targets of [service] could take, as far as this process sees. */
+    public fun freePlaces(
+        service: ServiceName,
+        now: Instant,
+    ): Int =
+        synchronized(lock) {
+            selectable[service]
+                .orEmpty()
+                .filterNot { isInBackoff(it.name, now) }
+                .sumOf { (capacity(it) - loadOf(it.name, now).online).coerceAtLeast(0) }
+                .coerceAtMost(Int.MAX_VALUE.toLong())
+                .toInt()
+        }
+
     /**
      * Selects a target of [service] with a free place for a batch item, or returns null if there is none.
      *
