--- a/tanagerlane-core/src/main/kotlin/tanagerlane/admission/FairOrder.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/admission/FairOrder.kt
@@ -43,10 +43,12 @@
         return level.peek()
     }
 
-    /** Removes [request], which is sent to a target, and charges its workspace for it. */
+    /** Removes [request], which is sent to a target, and charges its workspace for it; does nothing if it is not here. */
     fun take(request: WaitingRequest) {
-        levels[request.priority]?.charge(request)
-        remove(request)
+        if (request in this) {
+            levels.getValue(request.priority).charge(request)
+            remove(request)
+        }
     }
 
     /** Estimates how many requests are sent before [request], whether it is in this order or not. */
@@ -95,7 +97,7 @@
         }
 
         fun charge(request: WaitingRequest) {
-            val flow = flows[request.workspace] ?: return
+            val flow = flows.getValue(request.workspace)
             virtualTime = maxOf(virtualTime, flow.startTag)
             busy.remove(flow)
             flow.startTag += 1 / request.weight
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/admission/ServiceQueue.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/admission/ServiceQueue.kt
@@ -45,9 +45,9 @@
         request: WaitingRequest,
         now: Instant,
     ) {
-        if (now < request.dueAt || !request.mayRefuse) inTime.add(request) else late.add(request)
+        if (now < latestStart(request) || !request.mayRefuse) inTime.add(request) else late.add(request)
         checks += Check(request, firstCheckAt(request), CheckKind.PROMPT)
-        checks += Check(request, request.dueAt, CheckKind.DUE)
+        checks += Check(request, latestStart(request), CheckKind.DUE)
         checks += Check(request, holdEnd(request), CheckKind.HOLD)
     }
 
@@ -78,9 +78,14 @@
         if (size == 0 || !mayTake(free, size, now)) {
             return null
         }
-        return inTime.peek { served.isBelowFloor(it, now) } ?: late.peek { false }
+        val next = inTime.peek { served.isBelowFloor(it, now) }
+        return if (next != null || isOverloaded(now)) next else late.peek { false }
     }
 
+    /** Whether so many requests come that a place given to a late one would make another one late. */
+    private fun isOverloaded(now: Instant): Boolean =
+        arrivals.perSecond(Duration.ZERO, now) > releases.perSecond * OVERLOAD_FACTOR
+
     /** Whether this process may take one more place when it has [waiting] requests to send. */
     fun mayTake(
         free: () -> Int,
@@ -97,7 +102,7 @@
         late.remove(request)
         if (size == 0) checks.clear()
         releases.started(request.number, request.route, now)
-        if (now <= request.dueAt) {
+        if (now <= latestStart(request)) {
             served.servedToAny(now)
             served.served(request.workspace, now)
             served.served(request.priority, now)
@@ -175,6 +180,9 @@
         return now + releases.timeUntil(ahead + 1, now) + start <= request.dueAt
     }
 
+    /** Time after which a request that is sent is answered too late for its objective. */
+    private fun latestStart(request: WaitingRequest): Instant = request.dueAt - settings.startTime
+
     private fun firstCheckAt(request: WaitingRequest): Instant =
         request.arrivedAt + request.objective * settings.promptShare
 
@@ -201,4 +209,9 @@
         val requests: Int,
         val at: Instant,
     )
+
+    private companion object {
+        /** Arrivals in relation to ends from which there is an overload; both rates vary by chance. */
+        const val OVERLOAD_FACTOR = 1.15
+    }
 }
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/admission/WaitingSettings.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/admission/WaitingSettings.kt
@@ -24,8 +24,8 @@
 public data class WaitingSettings(
     val maximumRequests: Int = 256,
     val maximumBytes: Long = 16L shl 20,
-    val startTime: Duration = 40.milliseconds,
-    val targetQueueShare: Double = 0.125,
+    val startTime: Duration = 50.milliseconds,
+    val targetQueueShare: Double = 0.0,
     val promptShare: Double = 0.2,
     val holdShare: Double = 0.45,
     val retryShare: Double = 0.32,
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/places/LoadBalancer.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/places/LoadBalancer.kt
@@ -117,18 +117,19 @@
             if (best.online >= capacity(best.target)) Placement.Full else Placement.At(best.target)
         }
 
-    /** Returns how many more online requests the targets of [service] could take, as far as this process sees. */
-    public fun freePlaces(
+    /** Returns the places for online requests at the targets of [service], as far as this process sees. */
+    public fun placesOf(
         service: ServiceName,
         now: Instant,
-    ): Int =
+    ): ServicePlaces =
         synchronized(lock) {
-            selectable[service]
-                .orEmpty()
-                .filterNot { isInBackoff(it.name, now) }
-                .sumOf { (capacity(it) - loadOf(it.name, now).online).coerceAtLeast(0) }
-                .coerceAtMost(Int.MAX_VALUE.toLong())
-                .toInt()
+            val healthy = selectable[service].orEmpty().filterNot { isInBackoff(it.name, now) }
+            val free = healthy.sumOf { (capacity(it) - loadOf(it.name, now).online).coerceAtLeast(0) }
+            val total = healthy.sumOf { capacity(it) }
+            ServicePlaces(
+                free = free.coerceAtMost(Int.MAX_VALUE.toLong()).toInt(),
+                total = total.coerceAtMost(Int.MAX_VALUE.toLong()).toInt(),
+            )
         }
 
     /**
