--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
@@ -17,6 +17,7 @@
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
+import tanagerlane.admission.WaitingRequests
 import tanagerlane.attempts.LivenessSettings
 import tanagerlane.joblog.RawItem
 import tanagerlane.limits.SharedRates
@@ -81,7 +82,8 @@
     private val endpoint = WireEndpoint(hello(), scope, WIRE_LIMITS, clock::now)
     private val fleet: Fleet =
         Fleet(vertx, hello(), scope, endpoint, clock::now, ::receive) { runner.requestSchedulingPass() }
-    private val loadBalancer = LoadBalancer(settings.host.name, settings.host.failureDomain)
+    private val waiting = WaitingRequests()
+    private val loadBalancer = LoadBalancer(settings.host.name, settings.host.failureDomain, balancing(settings))
     private val rates = SharedRates()
     private val headers = RequestHeaders(deployment.headers)
     private val answerBudget =
@@ -103,7 +105,7 @@
     private var registration: Job? = null
     private val processorDelay = ProcessorDelay(DELAY_CHECK_INTERVAL)
     private val placeReports =
-        PlaceReports(fleet, incarnation, loadBalancer, rates, clock::now, { isLeaving }, { fleet.entries })
+        PlaceReports(fleet, incarnation, loadBalancer, rates, clock::now, { isLeaving }, { fleet.entries }, waiting)
 
     private val configurationSynchronizer =
         synchronizer(deployment.configuration.kind, CONFIGURATION_TIMES, ::applyConfiguration)
@@ -155,13 +157,13 @@
     private val onlineHandler =
         OnlineHandler(
             loadBalancer,
+            onlinePlaces(),
             targetClient,
             headers,
             answerForwarder,
             promptGuard,
             metrics,
             clock::now,
-            placeReports::requestReport,
         )
     private val jobHandler =
         JobCallHandler(
@@ -283,7 +285,7 @@
         launchLoop("crash reports", promptGuard::run)
         launchLoop("ticks", ::tickLoop)
         if (!isRunner) {
-            launchLoop("processor delay", ::delayLoop)
+            launchLoop("processor delay") { processorDelay.run(DELAY_CHECK_INTERVAL, clock::now) }
         }
         if (isRunner) {
             launchLoop("jobs", runner::run)
@@ -310,13 +312,6 @@
             }
         }
 
-    private suspend fun delayLoop() {
-        while (true) {
-            processorDelay.ticked(clock.now())
-            delay(DELAY_CHECK_INTERVAL)
-        }
-    }
-
     private suspend fun tickLoop() {
         while (true) {
             delay(TICK_INTERVAL)
@@ -450,6 +445,9 @@
             address = bound.toString(),
         )
 
+    private fun onlinePlaces() =
+        OnlinePlaces(loadBalancer, waiting.takeIf { settings.waiting }, placeReports, scope, metrics, clock::now)
+
     private fun hello(): Hello = helloOf(settings.host, settings.role, incarnation)
 
     private fun uncaughtExceptionHandler() =
@@ -458,7 +456,7 @@
     private fun status(): String =
         """{"role":"${settings.role.name.lowercase()}","host":"${settings.host.name}",""" +
             """"revision":${configuration?.revision?.number ?: 0},"targets":${targets.size},""" +
-            """"reachable":${fleet.reachable.size},"leaving":$isLeaving}"""
+            """"waiting":${waiting.size},"reachable":${fleet.reachable.size},"leaving":$isLeaving}"""
 
     private companion object {
         /** Datagrams show which processes are reachable, so connections need few pings. */
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectMetrics.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectMetrics.kt
@@ -4,6 +4,7 @@
 import io.micrometer.core.instrument.FunctionCounter
 import io.micrometer.core.instrument.MeterRegistry
 import io.micrometer.core.instrument.Timer
+import tanagerlane.admission.WaitingRequests
 import tanagerlane.model.RefusalReason
 import tanagerlane.runtime.StoreCall
 import tanagerlane.serving.AttemptEnd
@@ -59,6 +60,24 @@
             .register(registry)
     }
 
+    /** Shows how many requests wait in [queue] for a place at a target. */
+    fun observe(queue: WaitingRequests) {
+        registry.gauge("tanagerlane.requests.waiting", queue) { it.size.toDouble() }
+    }
+
+    /** Records that a request has waited for [time] for a place, with the given [outcome]. */
+    fun waited(
+        outcome: String,
+        time: Duration,
+    ) {
+        Timer
+            .builder("tanagerlane.requests.waited")
+            .tag("outcome", outcome)
+            .publishPercentileHistogram()
+            .register(registry)
+            .record(time.toJavaDuration())
+    }
+
     /** Returns the counter of attempts that ended with [end]. */
     fun attempts(end: AttemptEnd): Counter = attempts.getValue(end)
 
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineHandler.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineHandler.kt
@@ -1,33 +1,28 @@
 package tanagerlane.direct
 
 import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.getOrElse
 import org.slf4j.LoggerFactory
 import tanagerlane.model.RefusalReason
-import tanagerlane.model.RequestClass
 import tanagerlane.model.RunState
 import tanagerlane.places.DirectTarget
 import tanagerlane.places.LoadBalancer
-import tanagerlane.places.Placement
 import tanagerlane.serving.AttemptEnd
 import tanagerlane.serving.NextStep
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
 
-/**
- * Sends callers' requests to targets until one has answered.
- *
- * @param onRequestCountChanged called when the number of requests that this process has at a target changes
- */
+/** Sends callers' requests to targets until one has answered. */
 internal class OnlineHandler(
     private val loadBalancer: LoadBalancer,
+    private val places: OnlinePlaces,
     private val client: TargetClient,
     private val headers: RequestHeaders,
     private val forwarder: AnswerForwarder,
     private val promptGuard: PromptGuard,
     private val metrics: DirectMetrics,
     private val now: () -> Instant,
-    private val onRequestCountChanged: () -> Unit,
 ) {
     /** Serves [request] until it is answered, refused or aborted. */
     suspend fun serve(request: OnlineRequest) {
@@ -54,24 +49,14 @@
         if (promptGuard.findQuarantined(request.sharedParts) != null) {
             return withoutTarget(request, RefusalReason.QUARANTINED)
         }
-        val target =
-            when (val placement = loadBalancer.place(request.service, request.triedTargets, now())) {
-                is Placement.At -> placement.target
-                Placement.Full -> return withoutTarget(request, RefusalReason.OVERLOADED)
-                Placement.NoTarget -> return withoutTarget(request, RefusalReason.NO_TARGET)
+        val next =
+            places.use(request) { target ->
+                val end = callTarget(request, target) ?: return@use null
+                recordEnd(request, target, end)
+                val remaining = request.deadline - now()
+                NextStep.after(end, request.route, request.possibleRuns, request.notRunAttempts, remaining)
             }
-        request.triedTargets += target.name
-        loadBalancer.started(target.name, RequestClass.ONLINE)
-        onRequestCountChanged()
-        try {
-            val end = callTarget(request, target) ?: return null
-            recordEnd(request, target, end)
-            val remaining = request.deadline - now()
-            return NextStep.after(end, request.route, request.possibleRuns, request.notRunAttempts, remaining)
-        } finally {
-            loadBalancer.ended(target.name, RequestClass.ONLINE)
-            onRequestCountChanged()
-        }
+        return next.getOrElse { withoutTarget(request, it) }
     }
 
     private fun withoutTarget(
@@ -171,15 +156,17 @@
     ) {
         metrics.refused(refusal.reason).increment()
         logger.info(
-            "request refused request={} reason={} run_state={} handed={} age={} has_begun={}",
+            "request refused request={} reason={} run_state={} handed={} age={} has_begun={} place={}",
             request.id,
             refusal.reason,
             refusal.runState,
             request.possibleRuns,
             now() - request.exchange.arrivedAt,
             request.isAnswerStarted,
+            request.waitingRefusal?.reason,
         )
-        val retryAfter = promptGuard.findQuarantined(request.sharedParts)?.let { it.until - now() } ?: RETRY_AFTER
+        val forecast = request.waitingRefusal?.retryAfter ?: RETRY_AFTER
+        val retryAfter = promptGuard.findQuarantined(request.sharedParts)?.let { it.until - now() } ?: forecast
         if (request.isAnswerStarted) request.exchange.abort() else request.exchange.refuse(refusal, retryAfter)
     }
 
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineRequest.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineRequest.kt
@@ -1,6 +1,7 @@
 package tanagerlane.direct
 
 import io.vertx.core.buffer.Buffer
+import tanagerlane.admission.WaitingDecision
 import tanagerlane.model.PromptPart
 import tanagerlane.model.ServiceName
 import tanagerlane.model.TargetName
@@ -38,6 +39,9 @@
     /** Number of the last event that was forwarded, or that the caller already had, or null. */
     var lastEvent: Long? = exchange.resumeAfter
 
+    /** Why the request was refused for want of a place after or instead of a wait, or null. */
+    var waitingRefusal: WaitingDecision.Refused? = null
+
     /** Whether the head of the answer has been sent to the caller. */
     val isAnswerStarted: Boolean get() = exchange.isAnswerStarted
 }
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/PlaceReports.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/PlaceReports.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
+import tanagerlane.admission.WaitingRequests
 import tanagerlane.concurrency.receiveWithin
 import tanagerlane.limits.EntryFleet
 import tanagerlane.limits.SharedRates
@@ -29,6 +30,7 @@
     private val now: () -> Instant,
     private val isLeaving: () -> Boolean,
     private val entries: () -> EntryFleet,
+    private val waiting: WaitingRequests = WaitingRequests(),
 ) {
     private val requests = Channel<Unit>(Channel.CONFLATED)
     private val latestVersions = HashMap<HostName, ReportVersion>()
@@ -80,6 +82,7 @@
         }
         latestVersions[from] = version
         places.received(from, report, now())
+        waiting.received(from, report.waiting, now())
         val isNew =
             if (last == null) report.incarnation.number > incarnation.number else last.incarnation != report.incarnation
         rates.received(from, report.admissions, isNew, entries(), now())
@@ -96,6 +99,7 @@
             admissions = rates.report(now()),
             leaving = isLeaving(),
             unheard = fleet.unreachable.take(MAXIMUM_UNREACHABLE),
+            waiting = waiting.report(),
         )
 
     private data class ReportVersion(
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeDeployment.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeDeployment.kt
@@ -91,6 +91,7 @@
      * @param ownStore client of the object API that the process uses
      * @param ports ports for callers, for other processes and for operators
      * @param readyPort port for readiness checks, or null if they come to the port for callers
+     * @param waiting whether requests that find no place wait
      */
     suspend fun start(
         name: String,
@@ -101,6 +102,7 @@
         vertx: Vertx = this.vertx,
         stopTime: Duration = 8.seconds,
         readyPort: Int? = null,
+        waiting: Boolean = false,
     ): StartedDaemon {
         val settings =
             SettingsReader
@@ -112,6 +114,7 @@
                     callerAddress = "127.0.0.1:${ports[0]}"
                     ${readyPort?.let { "readyAddress = '127.0.0.1:$it'" }.orEmpty()}
                     stopTime = "$stopTime"
+                    waiting = $waiting
                     [host]
                     name = "$name"
                     failureDomain = "a"
