Decide on waiting requests when a refusal stops being prompt

And runners took places that online requests waited for, as entries no longer queue at targets.

Change: a request is refused on arrival only if its wait is hopeless; otherwise the decision comes after a fifth of the objective. No batch item is placed while online requests wait for as many places as are free. No more retries are promised for a time than places become free then, while there is other time.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/admission/RetryCalendar.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/admission/RetryCalendar.kt
@@ -21,11 +21,13 @@
      * Chooses the time after which a request that is refused at [now] should be retried.
      *
      * @param longest time for which the caller waits at most
+     * @param capacityPerSecond places that become free; not more than these are promised while there is other time
      * @param freePerSecond forecast of the places that become free and are not needed by arrivals, at a time from now;
      *   may be negative
      */
     fun choose(
         longest: Duration,
+        capacityPerSecond: Double,
         freePerSecond: (Duration) -> Double,
         now: Instant,
     ): Duration {
@@ -34,8 +36,10 @@
         val last = current + (longest / STEP).toLong() - 1
         val first = minOf(current + EARLIEST_STEPS, last)
         val seconds = STEP.toDouble(DurationUnit.SECONDS)
+        val most = (capacityPerSecond * seconds).coerceAtLeast(1.0)
+        val open = (first..last).filter { (promised[it] ?: 0) < most }.ifEmpty { first..last }
         val best =
-            (first..last).maxByOrNull { step ->
+            open.maxByOrNull { step ->
                 freePerSecond(STEP * (step - current).toDouble()) * seconds - (promised[step] ?: 0)
             } ?: return longest.coerceAtLeast(Duration.ZERO)
         promised.merge(best, 1, Int::plus)
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/admission/ServiceQueue.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/admission/ServiceQueue.kt
@@ -1,6 +1,5 @@
 package tanagerlane.admission
 
-import tanagerlane.model.HostName
 import java.util.PriorityQueue
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -10,10 +9,13 @@
  * Requests that wait for a place at a target of one service.
  *
  * Those that are late already follow all others, since a place that they take makes later ones late. Not thread-safe.
+ *
+ * @param waitingElsewhere returns how many requests wait in other processes
  */
 internal class ServiceQueue(
     private val settings: WaitingSettings,
     random: Random,
+    private val waitingElsewhere: (Instant) -> Int,
 ) {
     private val inTime = FairOrder()
     private val late = FairOrder()
@@ -23,13 +25,12 @@
     private val retries = RetryCalendar(random::nextDouble)
     private val share = PlaceShare(settings.reportAge, random::nextDouble)
     private val served = ServedShares(settings.floorShare)
-    private val elsewhere = HashMap<HostName, Reported>()
     private var forgottenAt: Instant? = null
 
     val size: Int get() = inTime.size + late.size
 
-    /** Whether nothing waits or runs, and no other process has reported that requests wait there. */
-    val isIdle: Boolean get() = size == 0 && releases.runningCount == 0 && elsewhere.isEmpty()
+    /** Whether nothing waits or runs. */
+    val isIdle: Boolean get() = size == 0 && releases.runningCount == 0
 
     fun arrived(
         request: WaitingRequest,
@@ -62,6 +63,14 @@
             else -> WaitingRefusal.NOT_IN_TIME
         }
 
+    /** Whether [request], which has just come, has so many others before it that it need not wait at all. */
+    fun isHopeless(
+        request: WaitingRequest,
+        now: Instant,
+    ): Boolean =
+        request.mayRefuse && request in inTime &&
+            expectedWait(request, now) > request.objective * settings.hopelessObjectives
+
     fun remove(request: WaitingRequest): Boolean {
         val isRemoved = inTime.remove(request) || late.remove(request)
         if (size == 0) checks.clear()
@@ -143,19 +152,12 @@
         val capacity = releases.perSecond
         return retries.choose(
             (request.deadline - now).coerceAtLeast(Duration.ZERO) * settings.retryShare,
+            capacity,
             { capacity - arrivals.perSecond(it, now) },
             now,
         )
     }
 
-    fun received(
-        host: HostName,
-        requests: Int,
-        now: Instant,
-    ) {
-        if (requests == 0) elsewhere.remove(host) else elsewhere[host] = Reported(requests, now)
-    }
-
     private fun reasonAt(
         check: Check,
         now: Instant,
@@ -174,10 +176,17 @@
         request: WaitingRequest,
         now: Instant,
     ): Boolean {
+        val start = settings.startTime + releases.meanDuration * settings.targetQueueShare
+        return now + expectedWait(request, now) + start <= request.dueAt
+    }
+
+    private fun expectedWait(
+        request: WaitingRequest,
+        now: Instant,
+    ): Duration {
         val isPreferred = served.isBelowFloor(request.workspace, now) || served.isBelowFloor(request.priority, now)
         val ahead = if (isPreferred) 0 else inTime.countAhead(request)
-        val start = settings.startTime + releases.meanDuration * settings.targetQueueShare
-        return now + releases.timeUntil(ahead + 1, now) + start <= request.dueAt
+        return releases.timeUntil(ahead + 1, now)
     }
 
     /** Time after which a request that is sent is answered too late for its objective. */
@@ -192,11 +201,6 @@
         return if (request.mayRefuse) request.arrivedAt + whole * settings.holdShare else request.deadline
     }
 
-    private fun waitingElsewhere(now: Instant): Int {
-        elsewhere.values.removeIf { now - it.at > settings.reportLifetime }
-        return elsewhere.values.sumOf { it.requests }
-    }
-
     private enum class CheckKind { PROMPT, DUE, HOLD }
 
     private class Check(
@@ -205,11 +209,6 @@
         val kind: CheckKind,
     )
 
-    private class Reported(
-        val requests: Int,
-        val at: Instant,
-    )
-
     private companion object {
         /** Arrivals in relation to ends from which there is an overload; both rates vary by chance. */
         const val OVERLOAD_FACTOR = 1.15
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/admission/WaitingRequests.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/admission/WaitingRequests.kt
@@ -3,6 +3,7 @@
 import tanagerlane.message.WaitingCount
 import tanagerlane.model.HostName
 import tanagerlane.model.ServiceName
+import tanagerlane.places.ReportedWaiting
 import kotlin.random.Random
 import kotlin.time.Instant
 
@@ -21,6 +22,7 @@
     private val random: Random = Random.Default,
 ) {
     private val queues = HashMap<ServiceName, ServiceQueue>()
+    private val elsewhere = ReportedWaiting(settings.reportLifetime)
     private val waitingBytes = HashMap<Long, Int>()
     private var bytes = 0L
 
@@ -70,9 +72,9 @@
         now: Instant,
     ): WaitingDecision {
         val queue = queueOf(request.service)
-        val reason = queue.reasonToRefuse(request, now) ?: return WaitingDecision.Waits
+        if (!queue.isHopeless(request, now)) return WaitingDecision.Waits
         remove(request)
-        return WaitingDecision.Refused(request, reason, queue.retryAfter(request, now))
+        return WaitingDecision.Refused(request, WaitingRefusal.NOT_IN_TIME, queue.retryAfter(request, now))
     }
 
     /**
@@ -133,10 +135,7 @@
         waiting: List<WaitingCount>,
         now: Instant,
     ) {
-        val counts = waiting.associate { it.service to it.requests.coerceAtLeast(0) }
-        counts.keys.forEach(::queueOf)
-        queues.forEach { (service, queue) -> queue.received(host, counts[service] ?: 0, now) }
-        queues.values.removeIf { it.isIdle && queues.size > MAXIMUM_IDLE_SERVICES }
+        elsewhere.replace(host, waiting, now)
     }
 
     private fun forget(request: WaitingRequest) {
@@ -144,7 +143,10 @@
     }
 
     private fun queueOf(service: ServiceName): ServiceQueue =
-        queues.getOrPut(service) { ServiceQueue(settings, random) }
+        queues.getOrPut(service) {
+            if (queues.size >= MAXIMUM_IDLE_SERVICES) queues.values.removeIf { it.isIdle }
+            ServiceQueue(settings, random) { elsewhere.of(service, it) }
+        }
 
     private companion object {
         /** Services beyond this number are forgotten when they are idle; their durations are learned anew. */
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/places/LoadBalancer.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/places/LoadBalancer.kt
@@ -29,6 +29,7 @@
     private var selectable: Map<ServiceName, List<DirectTarget>> = emptyMap()
     private val ownLoads = HashMap<TargetName, TargetLoad>()
     private val others = ReportedLoads(settings.reportLifetime)
+    private val waiting = ReportedWaiting(settings.reportLifetime)
     private val failures = HashMap<TargetName, FailureStreak>()
     private var selections = 0
 
@@ -48,12 +49,18 @@
         now: Instant,
     ) {
         val places = report.places.associate { it.target to TargetLoad(it.online, it.batch) }
-        synchronized(lock) { others.replace(host, places, now) }
+        synchronized(lock) {
+            others.replace(host, places, now)
+            waiting.replace(host, report.waiting, now)
+        }
     }
 
     /** Discards the last report of [host], which has terminated. */
     public fun forget(host: HostName) {
-        synchronized(lock) { others.remove(host) }
+        synchronized(lock) {
+            others.remove(host)
+            waiting.remove(host)
+        }
     }
 
     /** Records that this process has sent a request to [target]. */
@@ -135,7 +142,8 @@
     /**
      * Selects a target of [service] with a free place for a batch item, or returns null if there is none.
      *
-     * If all targets are in backoff, the fault may be in this process, so any of them may be selected.
+     * If all targets are in backoff, the fault may be in this process, so any of them may be selected. Places that online
+     * requests wait for are left to them.
      */
     public fun placeBatch(
         service: ServiceName,
@@ -143,11 +151,16 @@
     ): DirectTarget? =
         synchronized(lock) {
             val candidates = selectable[service].orEmpty()
-            candidates
-                .filterNot { isInBackoff(it.name, now) }
-                .ifEmpty { candidates }
-                .map { FreePlaces(it, it.places - loadOf(it.name, now).total) }
-                .filter { it.free > 0 }
+            val free =
+                candidates
+                    .filterNot { isInBackoff(it.name, now) }
+                    .ifEmpty { candidates }
+                    .map { FreePlaces(it, it.places - loadOf(it.name, now).total) }
+                    .filter { it.free > 0 }
+            if (free.sumOf { it.free.toLong() } <= waiting.of(service, now)) {
+                return null
+            }
+            free
                 .sortedWith(compareByDescending<FreePlaces> { it.free }.thenBy { it.target.failureDomain != domain })
                 .firstOrNull()
                 ?.target
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/admission/AdmissionSimulation.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/admission/AdmissionSimulation.kt
@@ -52,9 +52,14 @@
     var refusedAgain = 0
     var value = 0.0
 
+    val meanValue: Double get() = value / asked
+
+    /** Share of the requests that were served in time, at once or at their retry. */
+    val servedShare: Double get() = (inTime + retried).toDouble() / asked
+
     override fun toString(): String =
         "asked=$asked value=%.3f in_time=$inTime on_retry=$retried late=$late refused_promptly=$refusedPromptly "
-            .format(value / asked) + "refused_later=$refusedLate refused_again=$refusedAgain"
+            .format(meanValue) + "refused_later=$refusedLate refused_again=$refusedAgain"
 }
 
 /**
