--- a/tanagerlane-core/src/test/kotlin/tanagerlane/admission/AdmissionSimulation.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/admission/AdmissionSimulation.kt
@@ -1,67 +1,37 @@
 package tanagerlane.admission
 
+import tanagerlane.admission.ReplayFleet.DELIVERY
+import tanagerlane.admission.ReplayFleet.HELD_VALUE
+import tanagerlane.admission.ReplayFleet.INTERVAL
+import tanagerlane.admission.ReplayFleet.LATE_VALUE
+import tanagerlane.admission.ReplayFleet.LINK
+import tanagerlane.admission.ReplayFleet.MEAN_SECONDS
+import tanagerlane.admission.ReplayFleet.OBJECTIVE
+import tanagerlane.admission.ReplayFleet.PLACES
+import tanagerlane.admission.ReplayFleet.PRESENT_RETRY_AFTER
+import tanagerlane.admission.ReplayFleet.REFUSED_AGAIN_VALUE
+import tanagerlane.admission.ReplayFleet.SERVICE
+import tanagerlane.admission.ReplayFleet.START
+import tanagerlane.admission.ReplayFleet.TARGETS
+import tanagerlane.admission.ReplayFleet.TARGET_QUEUE_SHARE
+import tanagerlane.admission.ReplayFleet.TICK
+import tanagerlane.admission.ReplayFleet.TIMEOUT
+import tanagerlane.admission.ReplayFleet.targetOf
 import tanagerlane.message.PlaceReport
 import tanagerlane.model.FailureDomain
 import tanagerlane.model.HostName
 import tanagerlane.model.Incarnation
-import tanagerlane.model.ServiceName
 import tanagerlane.model.TargetName
 import tanagerlane.model.WorkspaceName
-import tanagerlane.places.DirectTarget
 import tanagerlane.places.LoadBalancer
 import tanagerlane.places.LoadBalancerSettings
 import tanagerlane.places.Placement
 import tanagerlane.places.PlacementRequest
-import java.util.PriorityQueue
 import kotlin.random.Random
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
-/**
- * Load of a replay.
- *
- * @property rate requests per second at a time after the start, as a multiple of what all targets serve
- * @property hotFactor load of the first of [WORKSPACES] workspaces as a multiple of that of each other one, at a time
- * @property priorities priorities from which that of each request is drawn
- * @property lostTargets number of targets that end at [lossAt]
- */
-internal data class ReplayLoad(
-    val name: String,
-    val entries: Int = 23,
-    val rate: (Duration) -> Double,
-    val hotFactor: (Duration) -> Double = { 1.0 },
-    val lostTargets: Int = 0,
-    val lossAt: Duration = 10.seconds,
-    val priorities: List<Int> = listOf(0, 0, 1, 1, 2),
-) {
-    companion object {
-        const val WORKSPACES = 8
-    }
-}
-
-/** What became of the requests of a group. */
-internal class ReplayTally {
-    var asked = 0
-    var inTime = 0
-    var late = 0
-    var retried = 0
-    var refusedPromptly = 0
-    var refusedLate = 0
-    var refusedAgain = 0
-    var value = 0.0
-
-    val meanValue: Double get() = value / asked
-
-    /** Share of the requests that were served in time, at once or at their retry. */
-    val servedShare: Double get() = (inTime + retried).toDouble() / asked
-
-    override fun toString(): String =
-        "asked=$asked value=%.3f in_time=$inTime on_retry=$retried late=$late refused_promptly=$refusedPromptly "
-            .format(meanValue) + "refused_later=$refusedLate refused_again=$refusedAgain"
-}
-
 /**
  * Replays a load in virtual time: entries with reports that are out of date, targets with places and short queues of
  * their own, and callers that retry once at another entry.
@@ -73,12 +43,11 @@
     private val settings: WaitingSettings = WaitingSettings(),
 ) {
     private val random = Random(seed)
-    private val events = PriorityQueue(compareBy<Event>({ it.at }, { it.number }))
-    private val targets = (1..TARGETS).map { SimulatedTarget(targetOf(it)) }.associateBy { it.target.name }
+    private val clock = ReplayClock(START)
+    private val targets = (1..TARGETS).map { ReplayTarget(targetOf(it), clock, random) }.associateBy { it.target.name }
     private val queueShare = if (isWaiting) settings.targetQueueShare else TARGET_QUEUE_SHARE
     private val entries = (1..load.entries).map { SimulatedEntry(it) }
-    private var now = START
-    private var eventCount = 0L
+    private val now: Instant get() = clock.now
     private var requestCount = 0L
 
     val all = ReplayTally()
@@ -95,12 +64,8 @@
         entries.forEach { entry -> after(INTERVAL * random.nextDouble()) { entry.report() } }
         after(Duration.ZERO) { arrive(duration) }
         if (load.lostTargets > 0) after(load.lossAt) { loseTargets() }
-        while (true) {
-            val event = events.poll() ?: return this
-            now = event.at
-            if (now - START > duration + 6.seconds) return this
-            event.run()
-        }
+        clock.run(duration + 6.seconds)
+        return this
     }
 
     private fun loseTargets() {
@@ -111,7 +76,7 @@
     }
 
     private fun arrive(duration: Duration) {
-        val age = now - START
+        val age = clock.age
         if (age > duration) return
         val perSecond = load.rate(age) * TARGETS * PLACES / MEAN_SECONDS
         after((-Math.log(1 - random.nextDouble()) / perSecond).seconds) { arrive(duration) }
@@ -119,9 +84,14 @@
         val draw = random.nextDouble() * (hot + ReplayLoad.WORKSPACES - 1)
         val workspace = if (draw < hot) 0 else 1 + (draw - hot).toInt()
         val priority = load.priorities[random.nextInt(load.priorities.size)]
-        val call = Call("w$workspace", priority, now)
-        call.tallies.forEach { it.asked++ }
-        chooseEntry(null).receive(call, Attempt(call, now + TIMEOUT, isRetry = false))
+        val tallies =
+            listOf(
+                all,
+                byWorkspace.getOrPut("w$workspace") { ReplayTally() },
+                byPriority.getOrPut(priority) { ReplayTally() },
+            )
+        val call = ReplayCall(WorkspaceName("w$workspace"), priority, tallies)
+        chooseEntry(null).receive(Attempt(call, now + TIMEOUT, isRetry = false))
     }
 
     /** Entries have uneven shares of the traffic: that of the last is three times that of the first. */
@@ -136,36 +106,10 @@
     private fun after(
         delay: Duration,
         action: () -> Unit,
-    ) {
-        events += Event(now + delay, eventCount++, action)
-    }
-
-    private inner class Call(
-        workspace: String,
-        val priority: Int,
-        val sentAt: Instant,
-    ) {
-        val workspace = WorkspaceName(workspace)
-        val tallies =
-            listOf(
-                all,
-                byWorkspace.getOrPut(workspace) { ReplayTally() },
-                byPriority.getOrPut(priority) { ReplayTally() },
-            )
-
-        fun add(
-            value: Double,
-            count: (ReplayTally) -> Unit,
-        ) {
-            tallies.forEach {
-                it.value += value
-                count(it)
-            }
-        }
-    }
+    ): Unit = clock.after(delay, action)
 
     private inner class Attempt(
-        val call: Call,
+        val call: ReplayCall,
         val deadline: Instant,
         val isRetry: Boolean,
     ) {
@@ -206,7 +150,7 @@
             val isPrompt = held <= OBJECTIVE / 4
             call.add(if (isPrompt) 0.0 else HELD_VALUE) { if (isPrompt) it.refusedPromptly++ else it.refusedLate++ }
             val pause = minOf(retryAfter, (deadline - now) / 3)
-            after(pause) { chooseEntry(entry).receive(call, Attempt(call, deadline, isRetry = true)) }
+            after(pause) { chooseEntry(entry).receive(Attempt(call, deadline, isRetry = true)) }
         }
     }
 
@@ -243,11 +187,7 @@
             after(INTERVAL) { report() }
         }
 
-        fun receive(
-            call: Call,
-            attempt: Attempt,
-        ) {
-            check(call === attempt.call)
+        fun receive(attempt: Attempt) {
             queue.arrived(attempt.request, now)
             if (!isWaiting) {
                 val placement = balancer.place(SERVICE, attempt.tried, now)
@@ -311,10 +251,16 @@
             finder.sent(target.target.name)
             queue.sent(attempt.request, now)
             sent++
-            after(LINK) { target.receive(attempt, this) }
+            val request =
+                ReplayTarget.Request(
+                    onBegun = attempt::begun,
+                    onEnded = { ended(attempt, target.target.name, it) },
+                    onRejected = { rejected(attempt, target.target.name, it) },
+                )
+            after(LINK) { target.receive(request) }
         }
 
-        fun ended(
+        private fun ended(
             attempt: Attempt,
             target: TargetName,
             isTypical: Boolean,
@@ -325,7 +271,7 @@
             if (isWaiting) pump()
         }
 
-        fun rejected(
+        private fun rejected(
             attempt: Attempt,
             target: TargetName,
             isFailure: Boolean,
@@ -338,74 +284,4 @@
             if (placement is Placement.At) send(attempt, placement) else attempt.refused(this, PRESENT_RETRY_AFTER)
         }
     }
-
-    private inner class SimulatedTarget(
-        val target: DirectTarget,
-    ) {
-        var isLost = false
-        private var running = 0
-        private val waiting = ArrayDeque<Pair<Attempt, SimulatedEntry>>()
-
-        fun receive(
-            attempt: Attempt,
-            entry: SimulatedEntry,
-        ) {
-            when {
-                isLost -> after(LINK) { entry.rejected(attempt, target.name, isFailure = true) }
-                running < PLACES -> start(attempt, entry)
-                waiting.size < PLACES * TARGET_QUEUE_SHARE -> waiting += attempt to entry
-                else -> after(LINK) { entry.rejected(attempt, target.name, isFailure = false) }
-            }
-        }
-
-        private fun start(
-            attempt: Attempt,
-            entry: SimulatedEntry,
-        ) {
-            running++
-            after(FIRST_EVENT) { if (!isLost) attempt.begun() }
-            after((MEAN_SECONDS * (0.7 + 0.6 * random.nextDouble())).seconds) {
-                running--
-                entry.ended(attempt, target.name, isTypical = !isLost)
-                if (!isLost) waiting.removeFirstOrNull()?.let { (next, from) -> start(next, from) }
-            }
-        }
-    }
-
-    private class Event(
-        val at: Instant,
-        val number: Long,
-        val run: () -> Unit,
-    )
-
-    companion object {
-        const val TARGETS = 36
-        const val PLACES = 8
-        const val MEAN_SECONDS = 0.75
-        const val TARGET_QUEUE_SHARE = 0.25
-        const val LATE_VALUE = 0.15
-        const val REFUSED_AGAIN_VALUE = -0.3
-
-        /** Assumed for "a little more" than a prompt refusal. */
-        const val HELD_VALUE = -0.1
-        private val SERVICE = ServiceName("models")
-        private val START = Instant.fromEpochSeconds(1_000_000)
-        private val OBJECTIVE = 300.milliseconds
-        private val TIMEOUT = 5.seconds
-        private val PRESENT_RETRY_AFTER = 300.milliseconds
-        private val FIRST_EVENT = 40.milliseconds
-        private val LINK = 1.milliseconds
-        private val TICK = 10.milliseconds
-        private val INTERVAL = 100.milliseconds
-        private val DELIVERY = 30.milliseconds
-
-        private fun targetOf(number: Int) =
-            DirectTarget(
-                name = TargetName("t$number"),
-                service = SERVICE,
-                address = "10.0.0.1:80",
-                failureDomain = FailureDomain("${"abcd"[number % 4]}"),
-                places = PLACES,
-            )
-    }
 }
