--- a/tanagerlane-core/src/main/kotlin/tanagerlane/places/LoadBalancer.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/places/LoadBalancer.kt
@@ -30,6 +30,7 @@
     private var selectable: Map<ServiceName, List<DirectTarget>> = emptyMap()
     private val ownLoads = HashMap<TargetName, TargetLoad>()
     private val others = ReportedLoads(settings.reportLifetime)
+    private val waiting = ReportedWaiting(settings.reportLifetime)
     private var selections = 0
     private var selectedAt = Instant.DISTANT_PAST
     private val loads =
@@ -64,6 +65,7 @@
         synchronized(lock) {
             others.replace(host, places, now)
             pacing.received(report, now)
+            waiting.replace(host, report.waiting, now)
         }
     }
 
@@ -72,6 +74,7 @@
         synchronized(lock) {
             others.remove(host)
             pacing.forget(host)
+            waiting.remove(host)
         }
     }
 
@@ -138,10 +141,26 @@
             if (best.online >= capacity(best.target)) Placement.Full else Placement.At(best.target)
         }
 
+    /** Returns the places for online requests at the targets of [service], as far as this process sees. */
+    public fun placesOf(
+        service: ServiceName,
+        now: Instant,
+    ): ServicePlaces =
+        synchronized(lock) {
+            val usable = open(withPace(selectable[service].orEmpty(), now))
+            val free = usable.sumOf { (capacity(it) - loadOf(it.name, now).online).coerceAtLeast(0) }
+            val total = usable.sumOf { capacity(it) }
+            ServicePlaces(
+                free = free.coerceAtMost(Int.MAX_VALUE.toLong()).toInt(),
+                total = total.coerceAtMost(Int.MAX_VALUE.toLong()).toInt(),
+            )
+        }
+
     /**
      * Selects a target of [service] with a free place for a batch item, or returns null if there is none.
      *
      * If all targets are held back after failures, the fault may be in this process, so any of them may be selected.
+     * Places that online requests wait for are left to them.
      *
      * @param mayUse whether the item may be sent to a target at all
      * @param keepFree places that stay free at the target for online requests
@@ -153,9 +172,14 @@
         keepFree: Int = 0,
     ): DirectTarget? =
         synchronized(lock) {
-            preferred(withPace(selectable[service].orEmpty().filter(mayUse), now))
-                .map { FreePlaces(it, it.places - loadOf(it.name, now).total) }
-                .filter { it.free > keepFree.coerceAtMost(it.target.places - 1) }
+            val free =
+                preferred(withPace(selectable[service].orEmpty().filter(mayUse), now))
+                    .map { FreePlaces(it, it.places - loadOf(it.name, now).total) }
+                    .filter { it.free > keepFree.coerceAtMost(it.target.places - 1) }
+            if (free.sumOf { it.free.toLong() } <= waiting.of(service, now)) {
+                return null
+            }
+            free
                 .sortedWith(compareByDescending<FreePlaces> { it.free }.thenBy { it.target.failureDomain != domain })
                 .firstOrNull()
                 ?.target
@@ -243,6 +267,10 @@
             .filter { it.decision != PaceDecision.FORBIDDEN }
     }
 
+    /** Returns the targets that are not limited, or all if there are none. */
+    private fun open(candidates: List<PacedTarget>): List<DirectTarget> =
+        candidates.filter { it.decision <= PaceDecision.ADMITTED }.ifEmpty { candidates }.map { it.target }
+
     private fun preferred(candidates: List<PacedTarget>): List<DirectTarget> {
         val best = candidates.minOfOrNull { it.decision }
         return candidates.filter { it.decision == best }.map { it.target }
@@ -262,16 +290,6 @@
         if (changed.total == 0) ownLoads.remove(target) else ownLoads[target] = changed
     }
 
-    private data class PacedTarget(
-        val target: DirectTarget,
-        val decision: PaceDecision,
-    )
-
-    private data class FreePlaces(
-        val target: DirectTarget,
-        val free: Int,
-    )
-
     private companion object {
         /** Odd multiplier, so that successive selections spread ties over all targets. */
         const val TIE_BREAK_MULTIPLIER = 0x9E3779B1.toInt()
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DaemonStatus.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DaemonStatus.kt
@@ -17,13 +17,14 @@
     private val targets: TargetDirectory,
     private val fleet: Fleet,
     private val isLeaving: () -> Boolean,
+    private val waiting: () -> Int,
     private val paces: () -> String,
     private val evacuations: () -> Map<FailureDomain, Duration>?,
 ) {
     /** Returns the state as a JSON object; evacuations, with their age in seconds, only where they are watched. */
     fun text(): String =
         """{"role":"${settings.role.name.lowercase()}","host":"${settings.host.name}",""" +
-            """"revision":${revision()},"targets":${targets.size},""" +
+            """"revision":${revision()},"targets":${targets.size},"waiting":${waiting()},""" +
             """"reachable":${fleet.reachable.size},"leaving":${isLeaving()}${evacuationsField()}${paces()}}"""
 
     private fun evacuationsField(): String {
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
@@ -16,6 +16,7 @@
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
+import tanagerlane.admission.WaitingRequests
 import tanagerlane.attempts.LivenessSettings
 import tanagerlane.evacuation.HomeRegions
 import tanagerlane.joblog.RawItem
@@ -84,6 +85,7 @@
     private val pace =
         FleetPace(settings, startedAt, { fleet.members }, { configuration?.services?.get(it) }, clock::now)
     private val loadBalancer = pace.loadBalancer
+    private val waiting = WaitingRequests()
     private val rates = SharedRates()
     private val headers = RequestHeaders(deployment.headers)
     private val answerBudget =
@@ -111,7 +113,7 @@
     private var registration: Job? = null
     private val processorDelay = ProcessorDelay(DELAY_CHECK_INTERVAL)
     private val placeReports =
-        PlaceReports(fleet, incarnation, loadBalancer, rates, clock::now, { isLeaving }, { fleet.entries })
+        PlaceReports(fleet, incarnation, loadBalancer, rates, clock::now, { isLeaving }, { fleet.entries }, waiting)
 
     private val hostDrain: HostDrain =
         HostDrain(
@@ -190,14 +192,13 @@
     private val onlineHandler =
         OnlineHandler(
             loadBalancer,
-            targetRules,
+            onlinePlaces(),
             targetClient,
             headers,
             answerForwarder,
             promptGuard,
             metrics,
             clock::now,
-            placeReports::requestReport,
         )
     private val jobHandler =
         JobCallHandler(
@@ -236,7 +237,9 @@
             now = clock::now,
         )
     private val status =
-        DaemonStatus(settings, { configuration?.revision?.number ?: 0 }, targets, fleet, { isLeaving }, pace::status) {
+        DaemonStatus(settings, {
+            configuration?.revision?.number ?: 0
+        }, targets, fleet, { isLeaving }, waiting::size, pace::status) {
             evacuations?.inForce?.ages(clock.now())
         }
     private val operatorServer = OperatorServer(vertx, registry, ready = { !isLeaving }, status = status::text)
@@ -327,7 +330,7 @@
         loops.launch("crash reports", promptGuard::run)
         loops.launch("ticks", ::tickLoop)
         if (!isRunner) {
-            loops.launch("processor delay", ::delayLoop)
+            loops.launch("processor delay") { processorDelay.run(DELAY_CHECK_INTERVAL, clock::now) }
         }
         if (isRunner) {
             loops.launch("jobs", runner::run)
@@ -336,13 +339,6 @@
         }
     }
 
-    private suspend fun delayLoop() {
-        while (true) {
-            processorDelay.ticked(clock.now())
-            delay(DELAY_CHECK_INTERVAL)
-        }
-    }
-
     private suspend fun tickLoop() {
         while (true) {
             delay(TICK_INTERVAL)
@@ -463,6 +459,17 @@
             address = bound.toString(),
         )
 
+    private fun onlinePlaces() =
+        OnlinePlaces(
+            loadBalancer,
+            targetRules,
+            waiting.takeIf { settings.waiting },
+            placeReports,
+            scope,
+            metrics,
+            clock::now,
+        )
+
     private fun hello(): Hello = helloOf(settings.host, settings.role, incarnation)
 
     private fun uncaughtExceptionHandler() =
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/FleetPace.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/FleetPace.kt
@@ -34,7 +34,7 @@
     private var states: Map<TargetName, TargetState> = emptyMap()
 
     /** Selects the targets of this process, at the pace that they bear. */
-    val loadBalancer = LoadBalancer(settings.host.name, settings.host.failureDomain, pacing = pace)
+    val loadBalancer = LoadBalancer(settings.host.name, settings.host.failureDomain, balancing(settings), pace)
 
     /** Selections in which a target was passed over because its declared rate was used up. */
     val forbidden: Long get() = loadBalancer.pace { pace.forbidden }
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeDeployment.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeDeployment.kt
@@ -100,6 +100,7 @@
      * @param ports ports for callers, for other processes and for operators
      * @param furtherSettings one further line of the settings
      * @param readyPort port for readiness checks, or null if they come to the port for callers
+     * @param waiting whether requests that find no place wait
      */
     suspend fun start(
         name: String,
@@ -111,6 +112,7 @@
         stopTime: Duration = 8.seconds,
         readyPort: Int? = null,
         furtherSettings: String = "",
+        waiting: Boolean = false,
     ): StartedDaemon {
         val settings =
             SettingsReader
@@ -124,6 +126,7 @@
                     stopTime = "$stopTime"
                     $furtherSettings
                     pacing = $pacing
+                    waiting = $waiting
                     [host]
                     name = "$name"
                     failureDomain = "a"
