--- a/tanagerlane-core/src/main/kotlin/tanagerlane/pace/AdaptiveLimit.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/pace/AdaptiveLimit.kt
@@ -63,6 +63,7 @@
         return when {
             window.isHeld(now) -> PaceDecision.HELD
             window.isProbed -> probe(target, window, loads, now)
+            window.isWide -> PaceDecision.ADMITTED
             else -> withinWindow(target, window, loads, now)
         }
     }
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/pace/TargetWindow.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/pace/TargetWindow.kt
@@ -9,8 +9,9 @@
  * The requests that all processes may have in flight at one target that has just been registered or has failed.
  *
  * The window doubles with each round of answers in time; once a window was too much, it doubles up to half of that one
- * and grows by one in each round from there on. It is halved by a late answer and by a failure. Several failures
- * without an answer between them hold the target back until a probe was answered. Failures that only one other process
+ * and grows by one in each round from there on. While it is smaller than the number of places, it is halved by a late
+ * answer and by a failure. Several failures without an answer between them hold the target back until a probe was
+ * answered. Failures that only one other process
  * reports may have their cause there, so they halve the window no further than once. Not thread-safe.
  */
 internal class TargetWindow(
@@ -43,6 +44,14 @@
     var isProbed = false
         private set
 
+    /**
+     * Whether the window is as large as the number of places.
+     *
+     * A target that has been answering is not limited for a single failure: a few answers that are lost would keep a
+     * part of its places idle for seconds.
+     */
+    val isWide: Boolean get() = size >= places && !isProbed
+
     /** Whether the target bears as many requests as it has places. */
     val isFull: Boolean get() = fullSince != null
 
@@ -64,7 +73,7 @@
             heldUntil = minOf(heldUntil, now)
             doublesUpTo = places.toDouble()
             resize(settings.firstWindow, now)
-        } else if (late > 0) {
+        } else if (late > 0 && !isWide) {
             changedAt = now
             shrink(now)
         } else {
@@ -89,7 +98,7 @@
             isProbed = true
             fullSince = null
             size = 1.0
-        } else if (isOwn || isConfirmed || size > places * LONE_SHARE) {
+        } else if (!isWide && (isOwn || isConfirmed || size > places * LONE_SHARE)) {
             shrink(now)
         }
         if (isOwn || isConfirmed) {
@@ -99,6 +108,9 @@
 
     /** Records that the target has refused a request of this process, which waits before it sends the next one. */
     fun rejected(now: Instant) {
+        if (isWide) {
+            return
+        }
         lastFailureAt = now
         changedAt = now
         shrink(now)
