--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeDeployment.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeDeployment.kt
@@ -44,6 +44,7 @@
     private val vertx: Vertx,
     private val targets: List<FakeTarget>,
     private val rate: Rate? = null,
+    private val limits: CallerLimits = CallerLimits(maximumBodyBytes = 100_000),
 ) {
     val store = MemoryObjectStore()
     private val service = ServiceName("models")
@@ -90,6 +91,7 @@
      *
      * @param ownStore client of the object API that the process uses
      * @param ports ports for callers, for other processes and for operators
+     * @param furtherSettings lines of the settings file, one for each setting
      * @param readyPort port for readiness checks, or null if they come to the port for callers
      */
     suspend fun start(
@@ -101,6 +103,7 @@
         vertx: Vertx = this.vertx,
         stopTime: Duration = 8.seconds,
         readyPort: Int? = null,
+        furtherSettings: String = "",
     ): StartedDaemon {
         val settings =
             SettingsReader
@@ -112,6 +115,7 @@
                     callerAddress = "127.0.0.1:${ports[0]}"
                     ${readyPort?.let { "readyAddress = '127.0.0.1:$it'" }.orEmpty()}
                     stopTime = "$stopTime"
+                    ${furtherSettings.replace("\n", "\n                    ")}
                     [host]
                     name = "$name"
                     failureDomain = "a"
@@ -209,7 +213,7 @@
         routes = routes,
         workspaces = mapOf(workspace to ServingWorkspace(workspace, rate, priority = null)),
         keys = keys.associateWith { workspace },
-        limits = CallerLimits(maximumBodyBytes = 100_000),
+        limits = limits,
     )
 
     /** Returns a route of the service of all targets. */
