Decide limits on connections of callers

Cause: nothing decides how much a process may hold for callers, when a transfer has stalled, or how many connections it may have.

Nothing uses it yet.

--- /dev/null
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/callers/CallerBudget.kt
@@ -0,0 +1,142 @@
+package tanagerlane.callers
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
+
+/**
+ * Budget for the bytes that a process holds for all connections of callers. Thread-safe.
+ *
+ * While they are over the budget, the largest connection that makes no progress is ended, or the largest of all if those
+ * without progress do not hold enough. So small requests are ended last.
+ *
+ * @param maximumBytes size of the budget in bytes
+ * @param stallTime time without progress after which a connection counts as making none
+ */
+public class CallerBudget(
+    public val maximumBytes: Long,
+    private val stallTime: Duration = STALL_TIME,
+) {
+    private val lock = Any()
+    private val shares = LinkedHashSet<Share>()
+    private var total = 0L
+    private var ended = 0L
+
+    /** Bytes that are held at present. */
+    public val heldBytes: Long get() = synchronized(lock) { total }
+
+    /** Number of connections that were ended because the budget was exceeded. */
+    public val endedConnections: Long get() = synchronized(lock) { ended }
+
+    /**
+     * Returns the share of a connection, which holds nothing yet.
+     *
+     * @param onExceeded called once if the connection is ended, with the bytes that it held; it must let go of them
+     */
+    public fun open(
+        now: Instant,
+        onExceeded: (bytes: Long) -> Unit,
+    ): Share = Share(now, onExceeded).also { synchronized(lock) { shares += it } }
+
+    /**
+     * Returns whether [bytes] more can be held, after it has ended connections without progress that stand in the way.
+     *
+     * @param requester share for which the room is needed; it is not ended
+     */
+    public fun makeRoom(
+        bytes: Long,
+        requester: Share,
+        now: Instant,
+    ): Boolean {
+        val excess = ArrayList<Pair<Share, Long>>()
+        val hasRoom =
+            synchronized(lock) {
+                val others = shares.filter { it !== requester && it.bytes > 0 && now - it.progressAt >= stallTime }
+                val stalled = others.sortedByDescending { it.bytes }.iterator()
+                val reclaimable = others.sumOf { it.bytes }
+                if (total - reclaimable + bytes <= maximumBytes) {
+                    while (total + bytes > maximumBytes) {
+                        excess += end(stalled.next())
+                    }
+                    true
+                } else {
+                    false
+                }
+            }
+        excess.forEach { (share, held) -> share.onExceeded(held) }
+        return hasRoom
+    }
+
+    private fun takeExcess(now: Instant): List<Pair<Share, Long>> {
+        val excess = ArrayList<Pair<Share, Long>>()
+        while (total > maximumBytes) {
+            val stalled = shares.filter { it.bytes > 0 && now - it.progressAt >= stallTime }
+            val isEnough = total - stalled.sumOf { it.bytes } <= maximumBytes
+            excess += end((if (isEnough) stalled else shares).maxBy { it.bytes })
+        }
+        return excess
+    }
+
+    private fun end(share: Share): Pair<Share, Long> {
+        val held = share.bytes
+        share.remove()
+        ended++
+        return share to held
+    }
+
+    /** What the process holds of one connection. */
+    public inner class Share internal constructor(
+        now: Instant,
+        internal val onExceeded: (bytes: Long) -> Unit,
+    ) {
+        internal var progressAt = now
+            private set
+
+        internal var bytes = 0L
+            private set
+
+        /** Records that the connection holds [held] bytes, and that bytes moved if it [hasProgressed]. */
+        public fun update(
+            held: Long,
+            hasProgressed: Boolean,
+            now: Instant,
+        ) {
+            val excess =
+                synchronized(lock) {
+                    if (this !in shares) {
+                        return
+                    }
+                    if (hasProgressed) {
+                        progressAt = now
+                    }
+                    total += held - bytes
+                    bytes = held
+                    takeExcess(now)
+                }
+            excess.forEach { (share, held) -> share.onExceeded(held) }
+        }
+
+        /** Gives all bytes back. */
+        public fun close() {
+            synchronized(lock) { remove() }
+        }
+
+        internal fun remove() {
+            if (shares.remove(this)) {
+                total -= bytes
+                bytes = 0
+            }
+        }
+    }
+
+    public companion object {
+        /** Longer than the pauses of a caller that sends steadily over a slow link. */
+        private val STALL_TIME = 500.milliseconds
+
+        /** Share of the heap for callers; a body is copied up to twice while its request runs. */
+        private const val HEAP_PER_BUDGET = 4
+
+        /** Returns the default size of the budget for a heap of [heapBytes]. */
+        public fun defaultBytes(heapBytes: Long): Long = heapBytes / HEAP_PER_BUDGET
+    }
+}
