Bound what a process holds for misbehaving callers

Cause: bodies, heads, requests sent ahead and answers were held without a bound over all callers, and connections never ended. Bodies were buffered before key, route and size were known.

Change: CallerGate, the first handler of each connection's pipeline, passes one head to the HTTP codec, its body once the request is admitted, and the next head once the answer is in the socket. CallerConnections bounds the connections (maximumConnections); the readiness address has 64 of its own.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerExchange.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerExchange.kt
@@ -1,9 +1,13 @@
 package tanagerlane.direct
 
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpConnection
 import io.vertx.core.http.HttpServerRequest
 import kotlinx.coroutines.CompletableDeferred
+import tanagerlane.model.RefusalReason
 import tanagerlane.model.RequestId
 import java.util.Locale
 import kotlin.time.Duration
@@ -22,8 +26,9 @@
     val arrivedAt: Instant,
     private val maximumBodyBytes: Int,
     private val isStopping: () -> Boolean,
+    private val gate: CallerGate,
 ) {
-    private val body = CompletableDeferred<Buffer?>()
+    private val body = CompletableDeferred<Result<Buffer, RefusalReason>>()
     private val response = request.response()
 
     /** Request id given by the caller, or null. */
@@ -69,8 +74,22 @@
     /** Called with the cause when the exchange ends before the answer is complete. */
     var onAborted: (cause: String) -> Unit = {}
 
-    /** Returns the complete request body, or null if it exceeds the size limit. */
-    suspend fun body(): Buffer? = body.await()
+    /**
+     * Reads the request body and returns it once it is complete.
+     *
+     * It fails with [RefusalReason.TOO_LARGE] for a body over the size limit, and with [RefusalReason.OVERLOADED] where
+     * this process has no room for one of the declared size; nothing of the body is read then.
+     */
+    suspend fun body(): Result<Buffer, RefusalReason> {
+        val declared = gate.declaredBytes ?: 0L
+        when {
+            body.isCompleted -> Unit
+            declared > maximumBodyBytes -> return Err(RefusalReason.TOO_LARGE)
+            !gate.makeRoom(declared) -> return Err(RefusalReason.OVERLOADED)
+            else -> gate.admitBody()
+        }
+        return body.await()
+    }
 
     /** Starts an answer whose body follows in pieces. */
     fun begin(
@@ -144,23 +163,21 @@
     }
 
     private fun addConnectionClose() {
-        if (isStopping()) {
+        if (isStopping() || gate.closesAfterAnswer) {
             response.putHeader("connection", "close")
         }
     }
 
     private fun collectBody() {
-        val collected = Buffer.buffer()
-        var isTooLarge = false
+        var collected = Buffer.buffer()
         request.handler { piece ->
-            if (collected.length() + piece.length() > maximumBodyBytes) {
-                isTooLarge = true
-                body.complete(null)
-            } else if (!isTooLarge) {
-                collected.appendBuffer(piece)
+            when {
+                response.ended() || body.isCompleted -> collected = Buffer.buffer()
+                collected.length() + piece.length() > maximumBodyBytes -> body.complete(Err(RefusalReason.TOO_LARGE))
+                else -> collected.appendBuffer(piece)
             }
         }
-        request.endHandler { body.complete(collected) }
+        request.endHandler { body.complete(Ok(collected)) }
         request.exceptionHandler { body.completeExceptionally(it) }
     }
 
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerService.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerService.kt
@@ -2,18 +2,15 @@
 
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.getOrElse
-import io.vertx.core.Vertx
-import io.vertx.core.http.HttpConnection
 import io.vertx.core.http.HttpMethod
-import io.vertx.core.http.HttpServerOptions
 import io.vertx.core.http.HttpServerRequest
-import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
+import tanagerlane.callers.ConnectionBound
 import tanagerlane.limits.SharedRates
 import tanagerlane.model.RefusalReason
 import tanagerlane.model.RunState
@@ -22,14 +19,13 @@
 import tanagerlane.serving.RouteKind
 import tanagerlane.serving.ServingRoute
 import tanagerlane.serving.ServingWorkspace
-import tanagerlane.wire.WireAddress
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
 
 /** Accepts callers' requests and dispatches or refuses them. */
 internal class CallerService(
-    private val vertx: Vertx,
+    private val connections: CallerConnections,
     private val scope: CoroutineScope,
     private val deployment: Deployment,
     private val online: OnlineHandler,
@@ -41,15 +37,13 @@
     private val state: ProcessState,
     private val now: () -> Instant,
 ) {
-    private val connections = HashSet<HttpConnection>()
-    private val closingConnections = HashSet<HttpConnection>()
     private val open = LinkedHashSet<CallerExchange>()
 
     /** Number of requests that do not have a final answer yet. */
     val openRequests: Int get() = open.size
 
     /** Whether a connection is still closing because its caller has not yet read the end of an answer. */
-    val hasUnreadAnswers: Boolean get() = closingConnections.isNotEmpty()
+    val hasUnreadAnswers: Boolean get() = connections.hasUnreadAnswers
 
     /**
      * Listens for callers on [address], and for load balancer readiness checks on [readyAddress].
@@ -61,13 +55,13 @@
         readyAddress: String?,
     ) {
         val hasOwnReadyAddress = readyAddress != null && readyAddress != address
-        listenOn(address) { request ->
+        connections.listen(address) { request ->
             val call = callOf(request)
             val isCheck = call == CallerCall.Readiness && !hasOwnReadyAddress && routeFor(request) == null
             if (isCheck) answerCheck(request) else handle(request, call)
         }
         if (hasOwnReadyAddress) {
-            listenOn(readyAddress) { request ->
+            connections.listen(readyAddress, ConnectionBound(READINESS_CONNECTIONS)) { request ->
                 if (callOf(request) == CallerCall.Readiness) {
                     answerCheck(request)
                 } else {
@@ -78,10 +72,7 @@
     }
 
     /** Closes the connections of callers that have no open request. */
-    fun closeIdleConnections() {
-        val busy = open.mapTo(HashSet()) { it.connection }
-        connections.filter { it !in busy && closingConnections.add(it) }.forEach { it.close() }
-    }
+    fun closeIdleConnections(): Unit = connections.closeIdle(open.mapTo(HashSet()) { it.connection })
 
     /** Ends all requests, refuses those whose answer has not started, and closes all connections of callers. */
     fun endAll() {
@@ -92,7 +83,7 @@
             }
             exchange.onAborted("process is stopping")
         }
-        connections.toList().forEach { it.close() }
+        connections.closeAll()
     }
 
     private fun logEnded(exchange: CallerExchange) {
@@ -105,24 +96,6 @@
         )
     }
 
-    private suspend fun listenOn(
-        address: String,
-        handler: (HttpServerRequest) -> Unit,
-    ) {
-        val parsed = requireNotNull(WireAddress.parse(address)) { "address is not IP:port: $address" }
-        vertx
-            .createHttpServer(HttpServerOptions().setMaxHeaderSize(MAXIMUM_HEADER_BYTES).setTcpNoDelay(true))
-            .connectionHandler { connection ->
-                connections.add(connection)
-                connection.closeHandler {
-                    connections.remove(connection)
-                    closingConnections.remove(connection)
-                }
-            }.requestHandler(handler)
-            .listen(parsed.port, parsed.host)
-            .coAwait()
-    }
-
     private fun callOf(request: HttpServerRequest): CallerCall {
         val query = request.params().entries().associate { it.key to it.value }
         return deployment.classify(request.method().name(), request.path().orEmpty(), query)
@@ -141,7 +114,8 @@
         call: CallerCall,
     ) {
         val limit = state.configuration()?.limits?.maximumBodyBytes ?: DEFAULT_MAXIMUM_BODY_BYTES
-        val exchange = CallerExchange(request, deployment.headers, now(), limit, state.isStopping)
+        val gate = connections.gateOf(request.connection()) ?: return
+        val exchange = CallerExchange(request, deployment.headers, now(), limit, state.isStopping, gate)
         open += exchange
         val job =
             scope.launch(start = CoroutineStart.UNDISPATCHED) {
@@ -231,7 +205,7 @@
         if (wait != null) {
             return refuse(exchange, RefusalReason.RATE_LIMITED, wait)
         }
-        val body = exchange.body() ?: return refuse(exchange, RefusalReason.TOO_LARGE)
+        val body = exchange.body().getOrElse { return refuse(exchange, it) }
         if (!state.acceptsRequests()) {
             return refuse(exchange, RefusalReason.SHUTTING_DOWN, STOP_RETRY_AFTER)
         }
@@ -265,11 +239,13 @@
         const val OK = 200
         const val NOT_FOUND = 404
         const val SERVICE_UNAVAILABLE = 503
-        const val MAXIMUM_HEADER_BYTES = 65_536
         const val DEFAULT_MAXIMUM_BODY_BYTES = 4 * 1024 * 1024
 
         /** Maximum number of open requests that are logged when the process stops. */
         const val MAXIMUM_LOGGED_REQUESTS = 100
+
+        /** Bound on the connections of load balancers that check readiness at an address of its own. */
+        const val READINESS_CONNECTIONS = 64
         val RETRY_AFTER = 200.milliseconds
 
         /** Retry delay while this process stops; a retry reaches the rest of the fleet, without this process. */
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
@@ -176,7 +176,7 @@
         )
     private val callerService =
         CallerService(
-            vertx = vertx,
+            connections = CallerConnections.of(vertx, settings, registry, { configuration?.limits }, clock::now),
             scope = scope,
             deployment = deployment,
             online = onlineHandler,
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobCallHandler.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobCallHandler.kt
@@ -50,7 +50,7 @@
         workspace: WorkspaceName?,
     ) {
         val job = exchange.id?.text?.let(::jobIdOf) ?: return exchange.refuse(notRun(RefusalReason.MALFORMED))
-        val body = exchange.body() ?: return exchange.refuse(notRun(RefusalReason.TOO_LARGE))
+        val body = exchange.body().getOrElse { return exchange.refuse(notRun(it), RETRY_AFTER) }
         val items =
             bodyFormat.items(Payload.of(body.bytes)).getOrElse { fault ->
                 logger.info("submission refused job={} reason=malformed cause={}", job, fault.reason)
