Keep connections open that have not been used when an entry stops

Cause: DirectStopTest "a connection opened once a stopping entry refuses requests stays open until its request is refused" failed in 2 of 2 runs. Without the detection of HTTP/2, a connection is known before its first bytes, and was closed as idle.

Change: a stopping entry closes idle connections only once something was sent on them, as before. Line ends before a request no longer begin a head, so they don't shorten the idle time. Checks of times are left out once after a check that came late. The limits are derived once for each configuration, and room for a body is looked for only over the budget. /status shows connections and bytes held for callers.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/callers/CallerBudget.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/callers/CallerBudget.kt
@@ -20,14 +20,10 @@
     private val lock = Any()
     private val shares = LinkedHashSet<Share>()
     private var total = 0L
-    private var ended = 0L
 
     /** Bytes that are held at present. */
     public val heldBytes: Long get() = synchronized(lock) { total }
 
-    /** Number of connections that were ended because the budget was exceeded. */
-    public val endedConnections: Long get() = synchronized(lock) { ended }
-
     /**
      * Returns the share of a connection, which holds nothing yet.
      *
@@ -51,6 +47,9 @@
         val excess = ArrayList<Pair<Share, Long>>()
         val hasRoom =
             synchronized(lock) {
+                if (total + bytes <= maximumBytes) {
+                    return true
+                }
                 val others = shares.filter { it !== requester && it.bytes > 0 && now - it.progressAt >= stallTime }
                 val stalled = others.sortedByDescending { it.bytes }.iterator()
                 val reclaimable = others.sumOf { it.bytes }
@@ -80,7 +79,6 @@
     private fun end(share: Share): Pair<Share, Long> {
         val held = share.bytes
         share.remove()
-        ended++
         return share to held
     }
 
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerConnections.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerConnections.kt
@@ -17,6 +17,7 @@
 import tanagerlane.serving.CallerLimits
 import tanagerlane.settings.DirectSettings
 import tanagerlane.wire.WireAddress
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
 /**
@@ -37,6 +38,10 @@
     private val closing = HashSet<HttpConnection>()
     private val logQuotas = ConnectionEnd.entries.associateWith { LogQuota() }
     private var isChecking = false
+    private var checkedAt = now()
+
+    /** Open connections and the bytes that are held for them, as members of a JSON object. */
+    val status: String get() = """"connections":${gates.size},"callerBytes":${budget.heldBytes}"""
 
     /** Whether a connection is still closing because its caller has not yet read the end of an answer. */
     val hasUnreadAnswers: Boolean get() = closing.isNotEmpty()
@@ -66,9 +71,10 @@
     /** Returns the gate of [connection]. */
     fun gateOf(connection: HttpConnection): CallerGate? = gates[connection]
 
-    /** Closes the connections that are not among [busy]. */
+    /** Closes the connections that are not among [busy]; one on which nothing was sent is about to be used. */
     fun closeIdle(busy: Set<HttpConnection>) {
-        gates.keys.filter { it !in busy && closing.add(it) }.forEach { it.close() }
+        val idle = gates.filter { (connection, gate) -> connection !in busy && !gate.isUnused }.keys
+        idle.filter { closing.add(it) }.forEach { it.close() }
     }
 
     /** Closes all connections. */
@@ -104,8 +110,14 @@
         }
     }
 
+    /** Ends connections whose time is over; if this process was held up, it first reads what has come meanwhile. */
     private fun checkTimes() {
         val now = now()
+        val isLate = now - checkedAt > LATE_CHECK
+        checkedAt = now
+        if (isLate) {
+            return
+        }
         gates.values.toList().forEach { it.checkTime(now) }
     }
 
@@ -141,7 +153,16 @@
             val budget = CallerBudget(settings.callerBudgetBytes ?: CallerBudget.defaultBytes(heapBytes))
             val bound = ConnectionBound(settings.maximumConnections ?: ProcessLimits.maximumConnections())
             val metrics = CallerMetrics(registry, budget)
-            return CallerConnections(vertx, { ConnectionLimits.of(configured()) }, budget, bound, metrics, now)
+            var source = configured()
+            var limits = ConnectionLimits.of(source)
+            val current = {
+                if (configured() != source) {
+                    source = configured()
+                    limits = ConnectionLimits.of(source)
+                }
+                limits
+            }
+            return CallerConnections(vertx, current, budget, bound, metrics, now)
         }
 
         private const val MAXIMUM_HEADER_BYTES = 65_536
@@ -152,6 +173,9 @@
         private const val FIRST_READ_BYTES = 2_048
         private const val MAXIMUM_READ_BYTES = 16_384
         private const val CHECK_MILLISECONDS = 200L
+
+        /** Time between two checks after which callers' bytes may wait unread. */
+        private val LATE_CHECK = 1.seconds
         private val logger = LoggerFactory.getLogger(CallerConnections::class.java)
     }
 }
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerGate.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerGate.kt
@@ -147,10 +147,6 @@
         if (phase == GatePhase.CLOSING) {
             return discard(message)
         }
-        if (phase == GatePhase.IDLE) {
-            head = HeadScanner()
-            enter(GatePhase.HEAD, limits().headLease(now()))
-        }
         held.add(message)
         deliver()
     }
@@ -176,16 +172,10 @@
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
-        release()
-        super.channelInactive(context)
-    }
-
-    override fun handlerRemoved(context: ChannelHandlerContext): Unit = release()
-
-    private fun release() {
         held.release()
         share.close()
         onClosed(this)
+        super.channelInactive(context)
     }
 
     private fun deliver() {
@@ -203,6 +193,10 @@
         }
         if (hasDelivered) context.fireChannelReadComplete()
         charge(hasProgressed = hasDelivered)
+        resumeReading()
+    }
+
+    private fun resumeReading() {
         if (isReadDeferred && held.isEmpty) {
             isReadDeferred = false
             context.read()
@@ -213,7 +207,7 @@
     private fun nextSlice(): ByteBuf? {
         val available = held.firstBytes ?: return null
         return when (phase) {
-            GatePhase.HEAD -> nextOfHead(available)
+            GatePhase.IDLE, GatePhase.HEAD -> nextOfHead(available)
             GatePhase.BODY -> nextOfBody(available.readableBytes())
             else -> null
         }
@@ -226,6 +220,9 @@
             refuseHead()
             return null
         }
+        if (phase == GatePhase.IDLE && !head.isBlank) {
+            enter(GatePhase.HEAD, limits.headLease(now()))
+        }
         lease = lease?.afterProgress(count.toLong(), now())
         return held.take(count)
     }
@@ -248,11 +245,8 @@
 
     private fun beginNext() {
         body.discard()
+        head = HeadScanner()
         enter(GatePhase.IDLE)
-        if (!held.isEmpty) {
-            head = HeadScanner()
-            enter(GatePhase.HEAD, limits().headLease(now()))
-        }
         deliver()
     }
 
@@ -263,10 +257,7 @@
         held.release()
         (context.channel() as? SocketChannel)?.shutdownOutput()
         charge(hasProgressed = false)
-        if (isReadDeferred) {
-            isReadDeferred = false
-            context.read()
-        }
+        resumeReading()
     }
 
     private fun discard(bytes: ByteBuf) {
@@ -285,7 +276,7 @@
     }
 
     private fun charge(hasProgressed: Boolean) {
-        val headCost = if (phase == GatePhase.IDLE) 0 else head.bytes + head.lines * BYTES_PER_FIELD
+        val headCost = head.bytes + head.lines * BYTES_PER_FIELD
         val bytes = CONNECTION_BYTES + held.capacity + headCost + body.keptBytes * COPIES_OF_BODY + unreadAnswer.bytes
         share.update(bytes, hasProgressed, now())
     }
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerService.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerService.kt
@@ -42,6 +42,9 @@
     /** Number of requests that do not have a final answer yet. */
     val openRequests: Int get() = open.size
 
+    /** Open connections and what is held for them, as members of a JSON object. */
+    val status: String get() = connections.status
+
     /** Whether a connection is still closing because its caller has not yet read the end of an answer. */
     val hasUnreadAnswers: Boolean get() = connections.hasUnreadAnswers
 
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
@@ -458,7 +458,7 @@
     private fun status(): String =
         """{"role":"${settings.role.name.lowercase()}","host":"${settings.host.name}",""" +
             """"revision":${configuration?.revision?.number ?: 0},"targets":${targets.size},""" +
-            """"reachable":${fleet.reachable.size},"leaving":$isLeaving}"""
+            """"reachable":${fleet.reachable.size},"leaving":$isLeaving,${callerService.status}}"""
 
     private companion object {
         /** Datagrams show which processes are reachable, so connections need few pings. */
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/HeadScanner.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/HeadScanner.kt
@@ -14,6 +14,9 @@
     var lines = 0
         private set
 
+    /** Whether only line ends have come so far, which some callers send after a body. */
+    val isBlank: Boolean get() = lines == 0 && !hasText
+
     /** Returns how many bytes of [buffer] belong to the head; the rest follows the end of the head. */
     fun scan(buffer: ByteBuf): Int {
         val start = buffer.readerIndex()
