--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DaemonStatus.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DaemonStatus.kt
@@ -9,7 +9,8 @@
 /**
  * State of a process for its operators.
  *
- * @param paces returns the fields on targets whose requests are limited, each after a comma
+ * @param waiting returns the number of requests that wait for a place
+ * @param further returns further fields, each after a comma
  */
 internal class DaemonStatus(
     private val settings: DirectSettings,
@@ -18,14 +19,14 @@
     private val fleet: Fleet,
     private val isLeaving: () -> Boolean,
     private val waiting: () -> Int,
-    private val paces: () -> String,
+    private val further: () -> String,
     private val evacuations: () -> Map<FailureDomain, Duration>?,
 ) {
     /** Returns the state as a JSON object; evacuations, with their age in seconds, only where they are watched. */
     fun text(): String =
         """{"role":"${settings.role.name.lowercase()}","host":"${settings.host.name}",""" +
             """"revision":${revision()},"targets":${targets.size},"waiting":${waiting()},""" +
-            """"reachable":${fleet.reachable.size},"leaving":${isLeaving()}${evacuationsField()}${paces()}}"""
+            """"reachable":${fleet.reachable.size},"leaving":${isLeaving()}${evacuationsField()}${further()}}"""
 
     private fun evacuationsField(): String {
         val ages = evacuations() ?: return ""
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
@@ -213,7 +213,7 @@
         )
     private val callerService =
         CallerService(
-            vertx = vertx,
+            connections = CallerConnections.of(vertx, settings, registry, { configuration?.limits }, clock::now),
             scope = scope,
             deployment = deployment,
             online = onlineHandler,
@@ -237,11 +237,16 @@
             now = clock::now,
         )
     private val status =
-        DaemonStatus(settings, {
-            configuration?.revision?.number ?: 0
-        }, targets, fleet, { isLeaving }, waiting::size, pace::status) {
-            evacuations?.inForce?.ages(clock.now())
-        }
+        DaemonStatus(
+            settings = settings,
+            revision = { configuration?.revision?.number ?: 0 },
+            targets = targets,
+            fleet = fleet,
+            isLeaving = { isLeaving },
+            waiting = waiting::size,
+            further = { ",${callerService.status}${pace.status()}" },
+            evacuations = { evacuations?.inForce?.ages(clock.now()) },
+        )
     private val operatorServer = OperatorServer(vertx, registry, ready = { !isLeaving }, status = status::text)
 
     private val isRunner: Boolean get() = settings.role == HostRole.BATCH
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeDeployment.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeDeployment.kt
@@ -52,6 +52,7 @@
     private val domains: Map<String, String> = emptyMap(),
     private val coldRate: Double? = null,
     private val pacing: Boolean = false,
+    private val limits: CallerLimits = CallerLimits(maximumBodyBytes = 100_000),
 ) {
     val store = MemoryObjectStore()
     private val service = ServiceName("models")
@@ -98,7 +99,7 @@
      *
      * @param ownStore client of the object API that the process uses
      * @param ports ports for callers, for other processes and for operators
-     * @param furtherSettings one further line of the settings
+     * @param furtherSettings lines of the settings file, one for each setting
      * @param readyPort port for readiness checks, or null if they come to the port for callers
      * @param waiting whether requests that find no place wait
      */
@@ -124,7 +125,7 @@
                     callerAddress = "127.0.0.1:${ports[0]}"
                     ${readyPort?.let { "readyAddress = '127.0.0.1:$it'" }.orEmpty()}
                     stopTime = "$stopTime"
-                    $furtherSettings
+                    ${furtherSettings.replace("\n", "\n                    ")}
                     pacing = $pacing
                     waiting = $waiting
                     [host]
@@ -226,7 +227,7 @@
         routes = routes,
         workspaces = mapOf(workspace to ServingWorkspace(workspace, rate, priority = null)),
         keys = keys.associateWith { workspace },
-        limits = CallerLimits(maximumBodyBytes = 100_000),
+        limits = limits,
         services = mapOf(service to ServiceSettings(service, coldRate?.let { 60.seconds }, coldRate)),
     )
 
