--- a/tanagerlane-core/src/main/kotlin/tanagerlane/places/PlacementRequest.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/places/PlacementRequest.kt
@@ -1,6 +1,5 @@
 package tanagerlane.places
 
-import tanagerlane.demand.RequestDemand
 import tanagerlane.model.ServiceName
 import tanagerlane.model.TargetName
 
@@ -8,13 +7,11 @@
  * A request for which a target is selected.
  *
  * @property tried targets at which the request was attempted; others are preferred
- * @property demand what the request asks of its target
  * @property mayUse whether the request may be sent to a target at all
  */
 public data class PlacementRequest(
     val service: ServiceName,
     val tried: Set<TargetName> = emptySet(),
-    val demand: RequestDemand = RequestDemand(),
     val mayUse: (DirectTarget) -> Boolean = ANY_TARGET,
 ) {
     public companion object {
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/serving/ServiceSettings.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/serving/ServiceSettings.kt
@@ -8,11 +8,9 @@
  *
  * @property coldTime time for which a target is cold after its start, or null if the service has no cold targets
  * @property coldRate requests per second that all processes together may send to a cold target, or null for no bound
- * @property engine the engine of its targets, or null for a service without one
  */
 public data class ServiceSettings(
     val name: ServiceName,
     val coldTime: Duration? = null,
     val coldRate: Double? = null,
-    val engine: EngineSettings? = null,
 )
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/HeaderNames.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/HeaderNames.kt
@@ -12,10 +12,6 @@
  * @property resumeAfter number of the last stream event that the receiver has
  * @property wait maximum time for which a read of results may wait, in milliseconds
  * @property promptParts parts of the prompt of a request
- * @property coldTime time for which a target stays cold, in milliseconds, in its answers to health checks; null if there
- *   is no such header
- * @property tokenUsage length of the prompt and maximum length of the answer, in tokens; null if there is no such header
- * @property lengthHint the caller's estimate of the length of the answer, in tokens; null if there is no such header
  */
 public data class HeaderNames(
     val requestId: String,
@@ -27,7 +23,4 @@
     val resumeAfter: String,
     val wait: String,
     val promptParts: String,
-    val coldTime: String? = null,
-    val tokenUsage: String? = null,
-    val lengthHint: String? = null,
 )
