Allocate the first buffer before callers are accepted

Cause: the first allocation of a buffer loads classes (the allocator's events among them) on the event loop for about 100 ms, seen with -Xlog:class+load.

Change: a buffer is allocated and released before a process listens for callers.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerConnections.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerConnections.kt
@@ -1,6 +1,7 @@
 package tanagerlane.direct
 
 import io.micrometer.core.instrument.MeterRegistry
+import io.netty.buffer.ByteBufAllocator
 import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.vertx.core.Vertx
 import io.vertx.core.http.HttpConnection
@@ -54,6 +55,8 @@
     ) {
         val parsed = requireNotNull(WireAddress.parse(address)) { "address is not IP:port: $address" }
         val own = LinkedHashSet<CallerGate>()
+        // The first allocation loads classes for about 100 ms, for which the first request would be refused as overloaded.
+        ByteBufAllocator.DEFAULT.directBuffer(FIRST_READ_BYTES).release()
         // HTTP/2 would multiplex requests past the limits of a connection.
         val options = HttpServerOptions().setMaxHeaderSize(MAXIMUM_HEADER_BYTES).setTcpNoDelay(true)
         vertx
