Read answers of targets in smaller pieces

All chunks of one read are decoded at once, also while the answer is paused: 64 KiB of chunks of 9 bytes are thousands of objects for each of 24 answers, beside the budget.

Change: a read of an answer takes at most 16 KiB.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetClient.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetClient.kt
@@ -45,7 +45,11 @@
 ) {
     private val client =
         vertx.createHttpClient(
-            HttpClientOptions().setKeepAlive(true).setPipelining(false).setTcpNoDelay(true),
+            HttpClientOptions()
+                .setKeepAlive(true)
+                .setPipelining(false)
+                .setTcpNoDelay(true)
+                .setReceiveBufferSize(READ_BYTES),
             PoolOptions().setHttp1MaxSize(1),
         )
     private val idle =
@@ -139,6 +143,12 @@
             .setConnectTimeout(CONNECT_TIMEOUT.inWholeMilliseconds)
 
     private companion object {
+        /**
+         * Bytes that one read of an answer takes. All chunks of a read are decoded at once, whether they are wanted or
+         * not; 64 KiB of chunks of 9 bytes are thousands of objects for each answer.
+         */
+        const val READ_BYTES = 16 shl 10
+
         /** Time limit for opening a connection; targets are a few milliseconds away. */
         val CONNECT_TIMEOUT = 400.milliseconds
 
