--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobRunner.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobRunner.kt
@@ -464,7 +464,7 @@
         val WRITE_RETRY_DELAY = 200.milliseconds
 
         /** Time for which an item can wait without being late, below which it takes any free place. */
-        val PRESSING_MARGIN = 3.seconds
+        val PRESSING_MARGIN = 9.seconds
 
         /** Time before an item is started again if its run was interrupted, stopped or not begun by the target. */
         val RETRY_DELAY = 20.milliseconds
