--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
@@ -383,8 +383,7 @@
 
     private fun onReport(isNew: Boolean) {
         if (isNew && isRunner) {
-            runner.preemptItems()
-            runner.requestSchedulingPass()
+            runner.onPlacesReported()
         }
     }
 
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobRunner.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobRunner.kt
@@ -91,6 +91,14 @@
         passRequests.trySend(Unit)
     }
 
+    /** Adapts to a report of another process; a fleet sends about a hundred a second, and a pass looks at all jobs. */
+    fun onPlacesReported() {
+        preemptItems()
+        if (assignedJobs.values.any { !it.log.isFinished }) {
+            requestSchedulingPass()
+        }
+    }
+
     /** Runs scheduling passes until cancelled. */
     suspend fun run() {
         var lastPassAt = now()
@@ -107,7 +115,7 @@
     }
 
     /** Stops batch items whose slots at a target are needed for online requests, the least urgent first. */
-    fun preemptItems() {
+    private fun preemptItems() {
         for ((target, count) in loadBalancer.itemsToPreempt(now())) {
             val running =
                 assignedJobs.values.flatMap { job ->
