--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DaemonStatus.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DaemonStatus.kt
@@ -26,7 +26,7 @@
     fun text(): String =
         """{"role":"${settings.role.name.lowercase()}","host":"${settings.host.name}",""" +
             """"revision":${revision()},"targets":${targets.size},"waiting":${waiting()},""" +
-            """"reachable":${fleet.reachable.size},"leaving":${isLeaving()}${evacuationsField()}${further()}}"""
+            """"reachable":${fleet.reachable.size},"leaving":${isLeaving()}${further()}${evacuationsField()}}"""
 
     private fun evacuationsField(): String {
         val ages = evacuations() ?: return ""
