Log whether a closed connection had an open request

The hypotheses about requests without an end could not be told apart: the line on a connection that the process closes did not say whether a request was open on it, and a request without a gate was dropped in silence. Both are logged now.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerConnections.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerConnections.kt
@@ -134,8 +134,9 @@
         }
         val omitted = logQuotas.getValue(cause).tryTake(now()) ?: return
         logger.warn(
-            "connection of a caller ended cause={} age={} held={} connections={} omitted_lines={}",
+            "connection of a caller ended cause={} open_request={} age={} held={} connections={} omitted_lines={}",
             cause,
+            gate.hasOpenRequest,
             now() - gate.openedAt,
             budget.heldBytes,
             gates.size,
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerGate.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerGate.kt
@@ -58,11 +58,14 @@
     var body = RequestBody(0L)
         private set
 
+    /** Whether a whole request may have been read whose answer has not been written to the socket. */
+    val hasOpenRequest: Boolean get() = openRequests > 0 || phase == GatePhase.RUNNING
+
     /** Whether the connection has to close after an answer that is given now, as the rest of the body is too long. */
     val closesAfterAnswer: Boolean get() = phase.isBodyMissing && !limits().drains(body.missingBytes)
 
     /** Returns whether [bytes] of a body can be held, which may end other connections that make no progress. */
-    fun makeRoom(bytes: Long): Boolean = budget.makeRoom(bytes * COPIES_OF_BODY, share, now())
+    fun makeRoom(bytes: Long): Boolean = budget.makeRoom(ConnectionCost.ofBody(bytes), share, now())
 
     /** Lets the body of the current request arrive. */
     fun admitBody() {
@@ -276,20 +279,11 @@
     }
 
     private fun charge(hasProgressed: Boolean) {
-        val headCost = head.bytes + head.lines * BYTES_PER_FIELD
-        val bytes = CONNECTION_BYTES + held.capacity + headCost + body.keptBytes * COPIES_OF_BODY + unreadAnswer.bytes
+        val bytes = ConnectionCost.of(head, body) + held.capacity + unreadAnswer.bytes
         share.update(bytes, hasProgressed, now())
     }
 
     private companion object {
-        /** Estimated cost of an idle connection with its handlers and buffers. */
-        const val CONNECTION_BYTES = 4_096L
-
-        /** Fields of three bytes held 94 bytes each in the heap when requests were kept open with 4,000 of them. */
-        const val BYTES_PER_FIELD = 128L
-
-        /** The buffer of a body grows by doubling, and is copied when the request is sent. */
-        const val COPIES_OF_BODY = 2
         const val MAXIMUM_CLOSING_BYTES = 1L shl 20
         val CLOSING_TIME = 2.seconds
         val LARGE_HEAD_ANSWER =
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerService.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerService.kt
@@ -117,7 +117,11 @@
         call: CallerCall,
     ) {
         val limit = state.configuration()?.limits?.maximumBodyBytes ?: DEFAULT_MAXIMUM_BODY_BYTES
-        val gate = connections.gateOf(request.connection()) ?: return
+        val gate = connections.gateOf(request.connection())
+        if (gate == null) {
+            logger.warn("request on a closed connection path={}", request.path())
+            return
+        }
         val exchange = CallerExchange(request, deployment.headers, now(), limit, state.isStopping, gate)
         open += exchange
         val job =
