Answer requests that are cancelled from within

Callers got neither an answer nor a refusal: CallerService logged a CancellationException and threw it on, whoever had cancelled. That is right where the caller has left or the process ends the request, as both end the exchange; where anything else on its way was cancelled, such as a read that several calls share, nobody did.

If the coroutine of the request is still active, it was not cancelled itself, and the request is answered as failed (500, unknown whether it ran).

CancelledRequestTest, with reads of the object API that are cancelled: before, three calls about jobs got nothing until the caller gave up after 8 s each; now 500 at once.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerService.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerService.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
@@ -129,6 +130,7 @@
                 try {
                     serve(exchange, call)
                 } catch (exception: CancellationException) {
+                    if (isActive) return@launch handleFailure(exchange, exception)
                     val age = now() - exchange.arrivedAt
                     logger.info("{} request={} age={}", exception.message, exchange.id?.text, age)
                     throw exception
@@ -141,7 +143,7 @@
         exchange.onAborted = { cause -> job.cancel(CancellationException(cause)) }
     }
 
-    /** Ends an exchange whose handler threw; it is unknown whether the request has run. */
+    /** Ends an exchange whose handler threw, or was cancelled by other than [CallerExchange.onAborted]; it is unknown whether the request has run. */
     private fun handleFailure(
         exchange: CallerExchange,
         failure: Throwable,
