Count the stop time from the signal

Callers of a stopping entry would be cut by the supervisor: StopPlan took its start when the event loop got to the stop, so all of it, the answers to requests that are still open included, moved towards the kill by as long as the process was busy. The time is taken when the stop is requested, and the line `stopping` says how late the event loop was.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerService.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerService.kt
@@ -46,8 +46,8 @@
     /** Open connections and what is held for them, as members of a JSON object. */
     val status: String get() = connections.status
 
-    /** Whether a connection is still closing because its caller has not yet read the end of an answer. */
-    val hasUnreadAnswers: Boolean get() = connections.hasUnreadAnswers
+    /** Whether a request was not answered yet, or the connection of one is still closing. */
+    val hasOpenRequests: Boolean get() = open.isNotEmpty() || connections.hasUnreadAnswers
 
     /**
      * Listens for callers on [address], and for load balancer readiness checks on [readyAddress].
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
@@ -287,10 +287,11 @@
      * connections do not delay the stop.
      */
     public suspend fun drainAndStop() {
+        // Taken here, since it may take long until the event loop of a busy process gets to the stop.
+        val plan = StopPlan(clock.now(), noticePeriod, settings.stopTime, STOP_RESERVE)
         withContext(scope.coroutineContext) {
-            val plan = StopPlan(clock.now(), noticePeriod, settings.stopTime, STOP_RESERVE)
             stopPlan = plan
-            logger.info("stopping open_requests={}", callerService.openRequests)
+            logger.info("stopping open_requests={} late={}", callerService.openRequests, clock.now() - plan.requestedAt)
             startLeaving()
             finishOpenWork(plan)
             storeRelay.close()
@@ -323,8 +324,7 @@
     }
 
     /** Whether there is work to finish before this process exits; a connection closes after its last answer is sent. */
-    private fun hasOpenWork(): Boolean =
-        callerService.openRequests > 0 || callerService.hasUnreadAnswers || !runner.isEmpty || storeRelay.isRelaying
+    private fun hasOpenWork(): Boolean = callerService.hasOpenRequests || !runner.isEmpty || storeRelay.isRelaying
 
     private fun launchLoops(bound: WireAddress) {
         synchronizers.values.forEach { synchronizer ->
