Keep connections with a whole request open when idle ones are closed

Callers got neither an answer nor a refusal from a stopping entry for a request that was sent ahead of the end of the answer before it. What is busy was known from the requests that had begun; one that the gate had read and not passed on, because the caller had not read the answer before it, was not among them, and its connection was closed as idle.

The gate itself now tells whether a request is open on its connection. A stop waits for these as it waited for unread answers.

SentAheadStopTest: before, the caller read the first answer and the end of the connection; now the first answer and a 503.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerConnections.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerConnections.kt
@@ -44,8 +44,8 @@
     /** Open connections and the bytes that are held for them, as members of a JSON object. */
     val status: String get() = """"connections":${gates.size},"callerBytes":${budget.heldBytes}"""
 
-    /** Whether a connection is still closing because its caller has not yet read the end of an answer. */
-    val hasUnreadAnswers: Boolean get() = closing.isNotEmpty()
+    /** Whether a connection is still closing, or has a request whose answer has not been written to the socket. */
+    val hasOpenRequests: Boolean get() = closing.isNotEmpty() || gates.values.any { it.hasOpenRequest }
 
     /** Listens on [address], and passes the requests of at most as many connections as [bound] allows to [handler]. */
     suspend fun listen(
@@ -74,9 +74,9 @@
     /** Returns the gate of [connection]. */
     fun gateOf(connection: HttpConnection): CallerGate? = gates[connection]
 
-    /** Closes the connections that are not among [busy]; one on which nothing was sent is about to be used. */
-    fun closeIdle(busy: Set<HttpConnection>) {
-        val idle = gates.filter { (connection, gate) -> connection !in busy && !gate.isUnused }.keys
+    /** Closes the connections without an open request; one on which nothing was sent is about to be used. */
+    fun closeIdle() {
+        val idle = gates.filterValues { !it.hasOpenRequest && !it.isUnused }.keys
         idle.filter { closing.add(it) }.forEach { it.close() }
     }
 
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerExchange.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerExchange.kt
@@ -4,7 +4,6 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import io.vertx.core.buffer.Buffer
-import io.vertx.core.http.HttpConnection
 import io.vertx.core.http.HttpServerRequest
 import kotlinx.coroutines.CompletableDeferred
 import tanagerlane.model.RefusalReason
@@ -36,7 +35,6 @@
 
     val host: String = request.authority()?.host().orEmpty()
     val path: String = request.path().orEmpty()
-    val connection: HttpConnection = request.connection()
     val method = request.method()
     val uri: String = request.uri()
     val headers = request.headers()
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerService.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerService.kt
@@ -46,8 +46,8 @@
     /** Open connections and what is held for them, as members of a JSON object. */
     val status: String get() = connections.status
 
-    /** Whether a request was not answered yet, or the connection of one is still closing. */
-    val hasOpenRequests: Boolean get() = open.isNotEmpty() || connections.hasUnreadAnswers
+    /** Whether a request was not answered to its end, or the connection of one is still closing. */
+    val hasOpenRequests: Boolean get() = open.isNotEmpty() || connections.hasOpenRequests
 
     /**
      * Listens for callers on [address], and for load balancer readiness checks on [readyAddress].
@@ -76,7 +76,7 @@
     }
 
     /** Closes the connections of callers that have no open request. */
-    fun closeIdleConnections(): Unit = connections.closeIdle(open.mapTo(HashSet()) { it.connection })
+    fun closeIdleConnections(): Unit = connections.closeIdle()
 
     /** Ends all requests, refuses those whose answer has not started, and closes all connections of callers. */
     fun endAll() {
