Do not end connections that wait for an answer to make room

Callers got neither an answer nor a refusal for requests that ran at a target: the budget ended the largest connection without progress, and no bytes move on one whose caller waits for an answer.

A connection counts as stalled only while the next bytes are due to or from its caller. The newcomer for which there is no room is refused as before.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/callers/CallerBudget.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/callers/CallerBudget.kt
@@ -7,8 +7,8 @@
 /**
  * Budget for the bytes that a process holds for all connections of callers. Thread-safe.
  *
- * While they are over the budget, the largest connection that makes no progress is ended, or the largest of all if those
- * without progress do not hold enough. So small requests are ended last.
+ * While they are over the budget, the largest connection whose caller makes no progress is ended, or the largest of all if
+ * those without progress do not hold enough. So small requests, and those that wait for this process, are ended last.
  *
  * @param maximumBytes size of the budget in bytes
  * @param stallTime time without progress after which a connection counts as making none
@@ -27,12 +27,15 @@
     /**
      * Returns the share of a connection, which holds nothing yet.
      *
+     * @param awaitsCaller whether the next bytes are due to or from the caller; a connection does not count as stalled
+     *   while its caller waits for an answer
      * @param onExceeded called once if the connection is ended, with the bytes that it held; it must let go of them
      */
     public fun open(
         now: Instant,
+        awaitsCaller: () -> Boolean = { true },
         onExceeded: (bytes: Long) -> Unit,
-    ): Share = Share(now, onExceeded).also { synchronized(lock) { shares += it } }
+    ): Share = Share(now, awaitsCaller, onExceeded).also { synchronized(lock) { shares += it } }
 
     /**
      * Returns whether [bytes] more can be held, after it has ended connections without progress that stand in the way.
@@ -50,7 +53,7 @@
                 if (total + bytes <= maximumBytes) {
                     return true
                 }
-                val others = shares.filter { it !== requester && it.bytes > 0 && now - it.progressAt >= stallTime }
+                val others = shares.filter { it !== requester && it.isStalled(now) }
                 val stalled = others.sortedByDescending { it.bytes }.iterator()
                 val reclaimable = others.sumOf { it.bytes }
                 if (total - reclaimable + bytes <= maximumBytes) {
@@ -69,9 +72,10 @@
     private fun takeExcess(now: Instant): List<Pair<Share, Long>> {
         val excess = ArrayList<Pair<Share, Long>>()
         while (total > maximumBytes) {
-            val stalled = shares.filter { it.bytes > 0 && now - it.progressAt >= stallTime }
+            val stalled = shares.filter { it.isStalled(now) }
             val isEnough = total - stalled.sumOf { it.bytes } <= maximumBytes
-            excess += end((if (isEnough) stalled else shares).maxBy { it.bytes })
+            val candidates = if (isEnough) stalled else shares.filter { it.awaitsCaller() }.ifEmpty { shares }
+            excess += end(candidates.maxBy { it.bytes })
         }
         return excess
     }
@@ -85,6 +89,7 @@
     /** What the process holds of one connection. */
     public inner class Share internal constructor(
         now: Instant,
+        internal val awaitsCaller: () -> Boolean,
         internal val onExceeded: (bytes: Long) -> Unit,
     ) {
         internal var progressAt = now
@@ -114,6 +119,8 @@
             excess.forEach { (share, held) -> share.onExceeded(held) }
         }
 
+        internal fun isStalled(now: Instant): Boolean = bytes > 0 && awaitsCaller() && now - progressAt >= stallTime
+
         /** Gives all bytes back. */
         public fun close() {
             synchronized(lock) { remove() }
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerGate.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerGate.kt
@@ -137,7 +137,7 @@
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         this.context = context
-        share = budget.open(now()) { end(ConnectionEnd.OVER_BUDGET) }
+        share = budget.open(now(), ::awaitsCaller) { end(ConnectionEnd.OVER_BUDGET) }
         charge(hasProgressed = false)
     }
 
@@ -278,6 +278,9 @@
         this.lease = lease
     }
 
+    private fun awaitsCaller(): Boolean =
+        unreadAnswer.bytes > 0 || !(phase == GatePhase.HELD || phase == GatePhase.RUNNING)
+
     private fun charge(hasProgressed: Boolean) {
         val bytes = ConnectionCost.of(head, body) + held.capacity + unreadAnswer.bytes
         share.update(bytes, hasProgressed, now())
