Handle signals to stop from before the start of a process

A signal to stop between the first accepted connection and the registration of the shutdown hook, which followed the whole start, ended the process at once: callers of requests that it had taken got nothing. The hook is registered before the start, and a stop waits for a start that is under way. A process that cannot start exits without a stop, as before.

ProcessLifecycle holds the order, apart from the adapter.

--- /dev/null
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ProcessLifecycle.kt
@@ -0,0 +1,60 @@
+package tanagerlane.direct
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlin.concurrent.thread
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Runs a process from its start until it is told to stop.
+ *
+ * A signal to stop can arrive as soon as the process listens, so it is handled from before the start.
+ *
+ * @param startLimit time for which a stop waits for a start that is under way
+ * @param addShutdownHook registers what is to be done before the process exits
+ */
+public class ProcessLifecycle(
+    private val startLimit: Duration = START_LIMIT,
+    private val addShutdownHook: (() -> Unit) -> Unit = ::addRuntimeHook,
+) {
+    /**
+     * Starts the process, and returns once it was told to stop and [stop] has returned.
+     *
+     * @param start starts the process and returns whether that succeeded
+     * @return false, at once, if the process was not started
+     */
+    public suspend fun run(
+        start: suspend () -> Boolean,
+        stop: suspend () -> Unit,
+    ): Boolean {
+        val started = CompletableDeferred<Boolean>()
+        val stopped = CompletableDeferred<Unit>()
+        addShutdownHook {
+            runBlocking {
+                val isStarted = withTimeoutOrNull(startLimit) { started.await() } ?: true
+                if (isStarted) stop()
+            }
+            stopped.complete(Unit)
+        }
+        var isStarted = false
+        try {
+            isStarted = start()
+        } finally {
+            started.complete(isStarted)
+        }
+        if (isStarted) {
+            stopped.await()
+        }
+        return isStarted
+    }
+
+    private companion object {
+        val START_LIMIT = 2.seconds
+
+        fun addRuntimeHook(action: () -> Unit) {
+            Runtime.getRuntime().addShutdownHook(thread(start = false, name = "drain") { action() })
+        }
+    }
+}
