Handle signals during the start of entries with sidecars, and of sidecars

The cause that ended requests at entries without sidecars acted here as well: the shutdown hook was registered after the daemon had started to listen. ProcessLifecycle moves to tanagerlane-runtime, and the commands `entry` and `sidecar` run their daemons by it. It returns why a process was not started.

ProcessLifecycleTest passes. No process of these two commands was sent a signal during its start.

--- a/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/daemon/DaemonRuntime.kt
+++ b/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/daemon/DaemonRuntime.kt
@@ -2,11 +2,13 @@
 
 import com.github.ajalt.clikt.core.PrintMessage
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.getOrElse
 import io.vertx.core.Vertx
 import io.vertx.core.VertxOptions
 import kotlinx.coroutines.runBlocking
 import tanagerlane.configuration.SettingsFault
+import tanagerlane.runtime.ProcessLifecycle
 import tanagerlane.wire.WireAddress
 import tanagerlane.wire.WireFault
 import java.io.IOException
@@ -46,15 +48,24 @@
     stopped.await()
 }
 
-/** Starts a daemon by [start]; ends the command if it cannot listen, so that its supervisor can start it again. */
-internal fun startDaemon(start: suspend () -> Result<WireAddress, WireFault>) {
-    try {
-        runBlocking { start() }.getOrElse { startFailure(it) }
-    } catch (exception: IOException) {
-        startFailure(exception)
+/**
+ * Runs a daemon from its [start] until it is told to stop.
+ *
+ * Ends the command if the daemon cannot listen, so that its supervisor can start it again.
+ */
+internal fun runDaemon(
+    start: suspend () -> Result<WireAddress, WireFault>,
+    stop: suspend () -> Unit,
+) {
+    val fault = runBlocking { ProcessLifecycle().run({ faultOf(start) }, stop) }
+    if (fault != null) {
+        throw PrintMessage("tanagerlane: could not start: $fault", statusCode = 1, printError = true)
     }
 }
 
-/** Ends the command with the reason why a daemon did not start. */
-private fun startFailure(fault: Any): Nothing =
-    throw PrintMessage("tanagerlane: could not start: $fault", statusCode = 1, printError = true)
+private suspend fun faultOf(start: suspend () -> Result<WireAddress, WireFault>): Any? =
+    try {
+        start().fold({ null }, { it })
+    } catch (exception: IOException) {
+        exception
+    }
--- a/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/daemon/EntryCommand.kt
+++ b/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/daemon/EntryCommand.kt
@@ -21,7 +21,6 @@
         val settings = settingsOf(settingsFile, SettingsReader.entry()::read)
         val vertx = smallVertx()
         val daemon = EntryDaemon(settings, HttpObjectStore(settings.host.objectApi, vertx), vertx)
-        startDaemon(daemon::start)
-        runUntilStopped(daemon::drainAndStop)
+        runDaemon(daemon::start, daemon::drainAndStop)
     }
 }
--- a/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/daemon/SidecarCommand.kt
+++ b/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/daemon/SidecarCommand.kt
@@ -21,7 +21,6 @@
         val settings = settingsOf(settingsFile, SettingsReader.sidecar()::read)
         val vertx = smallVertx()
         val daemon = SidecarDaemon(settings, HttpObjectStore(settings.host.objectApi, vertx), vertx)
-        startDaemon(daemon::start)
-        runUntilStopped(daemon::drainAndStop)
+        runDaemon(daemon::start, daemon::drainAndStop)
     }
 }
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ProcessLifecycle.kt
+++ b/tanagerlane-runtime/src/main/kotlin/tanagerlane/runtime/ProcessLifecycle.kt
@@ -1,4 +1,4 @@
-package tanagerlane.direct
+package tanagerlane.runtime
 
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.runBlocking
@@ -22,13 +22,13 @@
     /**
      * Starts the process, and returns once it was told to stop and [stop] has returned.
      *
-     * @param start starts the process and returns whether that succeeded
-     * @return false, at once, if the process was not started
+     * @param start starts the process and returns why it could not, or null
+     * @return what [start] has returned; at once if the process was not started
      */
-    public suspend fun run(
-        start: suspend () -> Boolean,
+    public suspend fun <F : Any> run(
+        start: suspend () -> F?,
         stop: suspend () -> Unit,
-    ): Boolean {
+    ): F? {
         val started = CompletableDeferred<Boolean>()
         val stopped = CompletableDeferred<Unit>()
         addShutdownHook {
@@ -38,16 +38,16 @@
             }
             stopped.complete(Unit)
         }
-        var isStarted = false
         try {
-            isStarted = start()
+            val fault = start()
+            started.complete(fault == null)
+            if (fault == null) {
+                stopped.await()
+            }
+            return fault
         } finally {
-            started.complete(isStarted)
-        }
-        if (isStarted) {
-            stopped.await()
+            started.complete(false)
         }
-        return isStarted
     }
 
     private companion object {
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/ProcessLifecycleTest.kt
+++ b/tanagerlane-runtime/src/test/kotlin/tanagerlane/runtime/ProcessLifecycleTest.kt
@@ -1,4 +1,4 @@
-package tanagerlane.direct
+package tanagerlane.runtime
 
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
@@ -63,7 +63,7 @@
                                 start = {
                                     delay(case.startTime)
                                     events += "started ${case.canStart}"
-                                    case.canStart
+                                    if (case.canStart) null else "port in use"
                                 },
                                 stop = { events += "stopped" },
                             )
@@ -72,7 +72,7 @@
                     events += "signal"
                     withContext(Dispatchers.IO) { hook() }
                     events += "ended"
-                    run.await() shouldBe case.canStart
+                    run.await() shouldBe if (case.canStart) null else "port in use"
                 }
                 events shouldBe case.expected
             }
