Judge requests beside parts of prompts as causes of crashes

Cause: evidence of crashes was kept for shared parts of prompts only, and only of requests that were lost before their first event. A request without such parts crashed target after target, however often it came again.

Change: evidence carries the digest of the request (caller, method, host, uri, body), when it was sent and how far its answer was. A request is quarantined after three crashes that followed one another, each after it had been sent again; requests that are under way at targets that fail together are not. A whole answer clears it, is reported and is remembered. PromptGuard passes no digests yet.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/quarantine/CrashAnalysis.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/quarantine/CrashAnalysis.kt
@@ -1,15 +1,16 @@
 package tanagerlane.quarantine
 
 import tanagerlane.model.PromptPart
+import tanagerlane.model.RequestDigest
 import kotlin.time.Duration
 import kotlin.time.Instant
 
-/** Finds the parts of prompts that explain crashes of targets. */
+/** Finds the parts of prompts, and the requests, that explain crashes of targets. */
 internal class CrashAnalysis(
     private val settings: QuarantineSettings,
 ) {
     /**
-     * Returns the parts that explain the crashes in which [lost] were lost.
+     * Returns the parts that explain the crashes in which [lost] were lost before their first events.
      *
      * One request is at fault for a crash. If parts explain equally many crashes, the last one in the prompts is chosen,
      * as the first ones are shared with more other requests. Once a part is found, its crashes no longer count against
@@ -21,8 +22,9 @@
         lost: Collection<LostRequest>,
         wasAnswered: (PromptPart) -> Boolean,
     ): List<QuarantinedPart> {
+        val beforeEvents = lost.filter { it.stage != LossStage.STREAMING }
         val unexplained = LinkedHashMap<PromptPart, MutableList<Crash>>()
-        for (crash in crashesOf(lost)) {
+        for (crash in groupByCrash(beforeEvents).map(::crashOf)) {
             crash.suspects.keys.forEach { unexplained.getOrPut(it) { ArrayList() } += crash }
         }
         unexplained.values.removeIf { it.size < minOf(settings.crashesWhileBeginning, settings.crashesWhileWaiting) }
@@ -42,12 +44,58 @@
         }
     }
 
-    private fun crashesOf(lost: Collection<LostRequest>): List<Crash> =
+    /**
+     * Returns what the crashes in which [lost] were lost tell about each request.
+     *
+     * A request is at fault if target after target crashed, each after it had been sent again. Requests that were under
+     * way at targets that fail together are lost together, and nothing is sent in between.
+     */
+    fun judge(lost: Collection<LostRequest>): Map<RequestDigest, SuspectedRequest> {
+        if (lost.all { it.request == null }) {
+            return emptyMap()
+        }
+        val losses = LinkedHashMap<RequestDigest, MutableList<Loss>>()
+        for (crash in groupByCrash(lost)) {
+            for ((request, runs) in crash.groupBy { it.request }) {
+                if (request != null) {
+                    losses.getOrPut(request) { ArrayList() } += Loss(crash.first().at, runs.maxOf { it.sentAt })
+                }
+            }
+        }
+        return losses.mapValues { (request, ofRequest) -> judge(request, ofRequest) }
+    }
+
+    private fun judge(
+        request: RequestDigest,
+        losses: List<Loss>,
+    ): SuspectedRequest {
+        val chain = longestChain(losses)
+        val isGuilty =
+            chain.crashes >= settings.crashesOfRequest &&
+                chain.last.at - chain.first.at >= settings.minimumSpanOfRequest
+        val verdict = QuarantinedRequest(request, chain.crashes, until = chain.last.at + termAfter(chain.crashes))
+        return SuspectedRequest(losses.size, chain.crashes, verdict.takeIf { isGuilty })
+    }
+
+    /** Returns the most crashes that followed one another, each after the request had been sent again. */
+    private fun longestChain(losses: List<Loss>): Chain {
+        val chains = ArrayList<Chain>()
+        for (loss in losses.sortedBy { it.at }) {
+            val longest =
+                chains
+                    .filter { loss.sentAt >= it.last.at - settings.clockTolerance }
+                    .maxWithOrNull(compareBy<Chain> { it.crashes }.thenByDescending { it.first.at })
+            chains += Chain(longest?.first ?: loss, loss, crashes = (longest?.crashes ?: 0) + 1)
+        }
+        return chains.maxWith(compareBy({ it.crashes }, { it.last.at }))
+    }
+
+    /** Returns the requests that were lost in each crash, in the order of their times. */
+    private fun groupByCrash(lost: Collection<LostRequest>): List<List<LostRequest>> =
         lost
             .groupBy { it.target }
             .values
             .flatMap { splitByTime(it.sortedBy(LostRequest::at)) }
-            .map(::crashOf)
 
     /** Splits the requests lost at one target, in the order of their times, into those lost in the same crash. */
     private fun splitByTime(lost: List<LostRequest>): List<List<LostRequest>> {
@@ -65,7 +113,7 @@
 
     /** Requests that only waited at the target are not at fault if the target had begun to answer another one. */
     private fun crashOf(lost: List<LostRequest>): Crash {
-        val begun = lost.filter { it.hasBegun }
+        val begun = lost.filter { it.stage == LossStage.BEGUN }
         val suspects = HashMap<PromptPart, Int>()
         for (request in begun.ifEmpty { lost }) {
             request.parts.forEachIndexed { position, part -> suspects.merge(part, position, ::maxOf) }
@@ -87,12 +135,14 @@
             (suspect.crashes.size >= settings.crashesWhileWaiting && span >= settings.minimumSpan)
     }
 
-    private fun endOfTerm(suspect: Suspect): Instant {
+    private fun endOfTerm(suspect: Suspect): Instant = suspect.crashes.maxOf { it.at } + termAfter(suspect.crashes.size)
+
+    private fun termAfter(crashes: Int): Duration {
         var term = settings.initialTerm
-        repeat((suspect.crashes.size - settings.crashesWhileBeginning).coerceAtMost(MAXIMUM_FACTORS)) {
+        repeat((crashes - settings.crashesWhileBeginning).coerceIn(0, MAXIMUM_FACTORS)) {
             term *= settings.termFactor
         }
-        return suspect.crashes.maxOf { it.at } + minOf(term, settings.maximumTerm)
+        return minOf(term, settings.maximumTerm)
     }
 
     /** A crash of a target; [suspects] maps the parts that may have caused it to their positions in the prompts. */
@@ -108,6 +158,19 @@
         val position: Int,
     )
 
+    /** A crash at which a request was lost, and when it had been sent. */
+    private class Loss(
+        val at: Instant,
+        val sentAt: Instant,
+    )
+
+    /** Crashes that followed one another. */
+    private class Chain(
+        val first: Loss,
+        val last: Loss,
+        val crashes: Int,
+    )
+
     private companion object {
         /** Bound on the repetitions of the factor, far above what reaches the maximum term. */
         const val MAXIMUM_FACTORS = 16
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/quarantine/PromptQuarantine.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/quarantine/PromptQuarantine.kt
@@ -1,11 +1,13 @@
 package tanagerlane.quarantine
 
 import tanagerlane.message.AnsweredPart
+import tanagerlane.message.CompletedRequest
 import tanagerlane.message.CrashEvidence
 import tanagerlane.message.CrashReport
 import tanagerlane.model.HostName
 import tanagerlane.model.Incarnation
 import tanagerlane.model.PromptPart
+import tanagerlane.model.RequestDigest
 import tanagerlane.model.TargetName
 import tanagerlane.routing.RendezvousHash
 import kotlin.time.Duration
@@ -14,11 +16,13 @@
 import kotlin.time.Instant
 
 /**
- * Finds parts of prompts that crash targets, from what all processes observe, and keeps requests with them from targets.
+ * Finds requests, and parts of prompts, that crash targets, from what all processes observe, and keeps them from targets.
  *
  * Evidence for a part are crashes in which a request with it was lost before its first event; evidence against it is any
- * answer that was written with it since. A part is quarantined for a term that grows with each further crash; after it,
- * requests with the part are sent again, so that a wrong verdict corrects itself. Thread-safe.
+ * answer that was written with it since. Evidence for a request are crashes that followed one another, each after it had
+ * been sent again; evidence against it is a whole answer, as a target may also crash in the middle of one. Either is
+ * quarantined for a term that grows with each further crash; after it, requests are sent again, so that a wrong verdict
+ * corrects itself. Thread-safe.
  */
 public class PromptQuarantine(
     private val own: HostName,
@@ -26,48 +30,46 @@
     private val settings: QuarantineSettings = QuarantineSettings(),
 ) {
     private val lock = Any()
-    private val analysis = CrashAnalysis(settings)
-    private val evidence = LinkedHashMap<EvidenceId, KnownEvidence>()
-    private val answered = HashMap<PromptPart, Instant>()
-
-    /** Latest answers that this process has seen, by part; evidence of earlier crashes may arrive after them. */
-    private val latestAnswers =
-        object : LinkedHashMap<PromptPart, Instant>() {
-            override fun removeEldestEntry(eldest: Map.Entry<PromptPart, Instant>): Boolean =
-                size > settings.maximumAnswers
-        }
-    private var quarantined: Map<PromptPart, QuarantinedPart> = emptyMap()
+    private val answers = LatestAnswers<PromptPart>(settings.maximumAnswers)
+    private val completions = LatestAnswers<RequestDigest>(settings.maximumAnswers)
+    private val evidence = CrashEvidenceStore(settings) { it in answers }
     private var evidenceCount = 0L
 
-    /** Whether evidence has changed since the verdicts were reached. */
-    private var isChanged = false
+    /** Whether there is nothing to be reported. */
+    public val isEmpty: Boolean
+        get() = synchronized(lock) { evidence.isEmpty && answers.hasNoReports && completions.hasNoReports }
 
-    /** Whether there is evidence to be reported. */
-    public val isEmpty: Boolean get() = synchronized(lock) { evidence.isEmpty() && answered.isEmpty() }
+    /** Whether there is evidence about any request, so that requests have to be identified before they are sent. */
+    public val hasRequestEvidence: Boolean get() = synchronized(lock) { evidence.requests.isNotEmpty() }
 
     /** Parts for which the evidence suffices, including those whose term is over. */
-    public val parts: Collection<QuarantinedPart> get() = synchronized(lock) { quarantined.values }
+    public val parts: Collection<QuarantinedPart> get() = synchronized(lock) { evidence.parts.values }
+
+    /** Requests for which the evidence suffices, including those whose term is over. */
+    public val requests: Collection<QuarantinedRequest>
+        get() = synchronized(lock) { evidence.requests.values.mapNotNull { it.verdict } }
 
     /**
-     * Records that a request of this process with the shared [parts] was lost before its first event, as its target
-     * crashed.
+     * Records that a [request] of this process was lost at [now], as its target crashed.
      *
-     * @param hasBegun whether the target had begun to answer the request
+     * @param sentAt time at which the request was sent to the target
      */
     public fun lost(
         target: TargetName,
-        parts: List<PromptPart>,
-        hasBegun: Boolean,
+        request: RequestTraits,
+        stage: LossStage,
+        sentAt: Instant,
         now: Instant,
     ) {
-        if (parts.isEmpty()) {
+        if (request.parts.isEmpty() && request.request == null) {
             return
         }
         synchronized(lock) {
             val id = EvidenceId(own, incarnation, ++evidenceCount)
-            add(LostRequest(id, target, now, hasBegun, parts.take(MAXIMUM_PARTS)), nextReportAt = now)
-            forget(now)
-            update()
+            val parts = request.parts.take(LostRequest.MAXIMUM_PARTS)
+            add(LostRequest(id, target, now, sentAt, stage, parts, request.request), nextReportAt = now)
+            evidence.forget(now)
+            evidence.update()
         }
     }
 
@@ -77,14 +79,25 @@
         now: Instant,
     ) {
         synchronized(lock) {
-            for (part in parts.take(MAXIMUM_PARTS)) {
-                latestAnswers.remove(part)
-                latestAnswers[part] = now
-            }
+            parts.take(LostRequest.MAXIMUM_PARTS).forEach { answers.record(it, now) }
             val cleared = parts.filter { clear(it, now) }
             if (cleared.isNotEmpty()) {
-                cleared.forEach { answered[it] = now }
-                update()
+                cleared.forEach { answers.report(it, now) }
+                evidence.update()
+            }
+        }
+    }
+
+    /** Records that the answer to [request] was received whole. */
+    public fun completed(
+        request: RequestDigest,
+        now: Instant,
+    ) {
+        synchronized(lock) {
+            completions.record(request, now)
+            if (clear(request, now)) {
+                completions.report(request, now)
+                evidence.update()
             }
         }
     }
@@ -95,6 +108,7 @@
         now: Instant,
     ): QuarantinedPart? =
         synchronized(lock) {
+            val quarantined = evidence.parts
             if (quarantined.isEmpty()) {
                 null
             } else {
@@ -102,6 +116,16 @@
             }
         }
 
+    /** Returns the verdict by which [request] must not reach a target, or null. */
+    public fun findQuarantined(
+        request: RequestDigest,
+        now: Instant,
+    ): QuarantinedRequest? = synchronized(lock) { evidence.requests[request]?.verdict?.takeIf { it.until > now } }
+
+    /** Whether one further crash, or none, is missing to the verdict on [request]. */
+    public fun isSuspected(request: RequestDigest): Boolean =
+        synchronized(lock) { (evidence.requests[request]?.chainedCrashes ?: 0) >= settings.crashesOfRequest - 1 }
+
     /** Merges a [report] of another process. */
     public fun received(
         report: CrashReport,
@@ -110,7 +134,8 @@
         synchronized(lock) {
             report.evidence.forEach { merge(it, now) }
             report.answered.forEach { clear(it.part, now - it.age) }
-            update()
+            report.completed.forEach { clear(it.request, now - it.age) }
+            evidence.update()
         }
     }
 
@@ -127,23 +152,44 @@
         now: Instant,
     ): List<CrashReport> =
         synchronized(lock) {
-            forget(now)
-            update()
-            val due = evidence.values.filter { it.nextReportAt <= now }
+            evidence.forget(now)
+            evidence.update()
+            val due = evidence.all.filter { it.nextReportAt <= now }
             due.forEach { it.nextReportAt = now + reportPause(it.request, now) }
-            val reported =
-                due.filter {
-                    it.request.isFreshOwn(now) || (counts(it.request, now) && it.request.isRepeatedHere(reachable))
-                }
-            val answers = answered.map { (part, at) -> AnsweredPart(part, now - at) }
-            answered.values.removeIf { now - it > ANSWER_REPORT_TIME }
-            val chunks = reported.map { messageOf(it.request, now) }.chunked(EVIDENCE_PER_REPORT)
-            val answerChunks = answers.chunked(ANSWERS_PER_REPORT)
-            List(maxOf(chunks.size, answerChunks.size)) { index ->
-                CrashReport(own, chunks.getOrElse(index) { emptyList() }, answerChunks.getOrElse(index) { emptyList() })
+            val reported = due.map { it.request }.filter { isReported(it, reachable, now) }
+            val evidenceChunks = reported.map { it.toMessage(now) }.chunked(EVIDENCE_PER_REPORT)
+            val answerChunks =
+                answers.reports(now).map { (part, age) -> AnsweredPart(part, age) }.chunked(ANSWERS_PER_REPORT)
+            val completionChunks =
+                completions
+                    .reports(now)
+                    .map { (request, age) -> CompletedRequest(request, age) }
+                    .chunked(COMPLETIONS_PER_REPORT)
+            List(maxOf(evidenceChunks.size, answerChunks.size, completionChunks.size)) { index ->
+                CrashReport(
+                    host = own,
+                    evidence = evidenceChunks.getOrElse(index) { emptyList() },
+                    answered = answerChunks.getOrElse(index) { emptyList() },
+                    completed = completionChunks.getOrElse(index) { emptyList() },
+                )
             }
         }
 
+    private fun isReported(
+        request: LostRequest,
+        reachable: Set<HostName>,
+        now: Instant,
+    ): Boolean =
+        when {
+            request.isSpent -> false
+            request.isFreshOwn(now) -> true
+            else -> isWorthRepeating(request) && evidence.counts(request, now) && request.isRepeatedHere(reachable)
+        }
+
+    /** A request that was lost in one crash only proves nothing; evidence is repeated once there is a second one. */
+    private fun isWorthRepeating(request: LostRequest): Boolean =
+        request.parts.isNotEmpty() || (evidence.requests[request.request]?.crashes ?: 0) > 1
+
     private fun LostRequest.isFreshOwn(now: Instant): Boolean = id.observer == own && now - at <= OWN_REPORT_TIME
 
     private fun LostRequest.isRepeatedHere(reachable: Set<HostName>): Boolean =
@@ -158,22 +204,23 @@
         message: CrashEvidence,
         now: Instant,
     ) {
-        val id = EvidenceId(message.observer, message.incarnation, message.number)
-        val known = evidence[id]
-        val request =
-            if (known == null) {
-                LostRequest(id, message.target, now - message.age, message.hasBegun, message.parts.take(MAXIMUM_PARTS))
-            } else {
-                known.request.copy(parts = known.request.parts.filter { it in message.parts })
+        val received = LostRequest.of(message, now)
+        val known = evidence[received.id]
+        if (known == null) {
+            val isOwn = received.id.observer == own && received.id.incarnation == incarnation
+            if (!isOwn) {
+                add(received, nextReportAt = now + REPEAT_PAUSE, keptUntil = now + LEARNING_TIME)
             }
-        val isOwn = id.observer == own && id.incarnation == incarnation
-        val tellsNothing = known != null && known.request.parts == request.parts
-        if (!tellsNothing && (known != null || !isOwn)) {
-            add(
-                request,
-                nextReportAt = known?.nextReportAt ?: (now + REPEAT_PAUSE),
-                keptUntil = known?.keptUntil ?: (now + LEARNING_TIME),
-            )
+            return
+        }
+        val merged = known.request.mergedWith(received)
+        if (merged != known.request) {
+            add(merged, known.nextReportAt, known.keptUntil)
+        }
+        val digest = received.request ?: return
+        val completedAt = completions[digest]
+        if (completedAt != null && received.at < completedAt) {
+            completions.report(digest, completedAt)
         }
     }
 
@@ -182,95 +229,40 @@
         nextReportAt: Instant,
         keptUntil: Instant = request.at,
     ) {
-        evidence[request.id] = KnownEvidence(request, nextReportAt, keptUntil)
-        isChanged = true
+        evidence.put(KnownEvidence(request, nextReportAt, keptUntil))
         for (part in request.parts) {
-            val answeredAt = latestAnswers[part]
+            val answeredAt = answers[part]
             if (answeredAt != null && clear(part, answeredAt)) {
-                answered[part] = answeredAt
+                answers.report(part, answeredAt)
             }
         }
+        val digest = request.request ?: return
+        val completedAt = completions[digest]
+        if (completedAt != null && clear(digest, completedAt)) {
+            completions.report(digest, completedAt)
+        }
     }
 
     /** Removes [part] from the evidence of crashes before [answeredAt]; returns whether there was any. */
     private fun clear(
         part: PromptPart,
         answeredAt: Instant,
-    ): Boolean {
-        var isCleared = false
-        for (known in evidence.values) {
-            if (part in known.request.parts && known.request.at < answeredAt) {
-                known.request = known.request.copy(parts = known.request.parts - part)
-                isCleared = true
-                isChanged = true
-            }
-        }
-        return isCleared
-    }
-
-    private fun forget(now: Instant) {
-        if (evidence.values.removeIf { known -> known.keptUntil < now && !counts(known.request, now) }) {
-            isChanged = true
-        }
-    }
-
-    /** Reaches the verdicts again if evidence has changed. */
-    private fun update() {
-        while (evidence.size > settings.maximumEvidence) {
-            evidence.remove(leastUseful().request.id)
-        }
-        if (isChanged) {
-            isChanged = false
-            quarantined =
-                analysis.explain(evidence.values.map { it.request }) { it in latestAnswers }.associateBy { it.part }
-        }
-    }
+    ): Boolean = evidence.shrink(answeredAt) { if (part in it.parts) it.copy(parts = it.parts - part) else it }
 
-    /** Returns the oldest evidence, if possible one on which no verdict rests. */
-    private fun leastUseful(): KnownEvidence =
-        evidence.values.minWith(
-            compareBy({ known -> known.request.parts.any { it in quarantined } }, { it.request.at }),
-        )
-
-    /** Evidence without parts is kept for a while, since other processes repeat it with the parts that they know. */
-    private fun counts(
-        request: LostRequest,
-        now: Instant,
-    ): Boolean {
-        val terms = request.parts.mapNotNull { quarantined[it]?.until }
-        val countsUntil = (terms + request.at).max() + settings.evidenceLifetime
-        return countsUntil >= now
-    }
-
-    private fun messageOf(
-        request: LostRequest,
-        now: Instant,
-    ) = CrashEvidence(
-        observer = request.id.observer,
-        incarnation = request.id.incarnation,
-        number = request.id.number,
-        target = request.target,
-        age = now - request.at,
-        hasBegun = request.hasBegun,
-        parts = request.parts,
-    )
-
-    private class KnownEvidence(
-        var request: LostRequest,
-        var nextReportAt: Instant,
-        val keptUntil: Instant,
-    )
+    /** Removes [request] from the evidence of crashes before [answeredAt]; returns whether there was any. */
+    private fun clear(
+        request: RequestDigest,
+        answeredAt: Instant,
+    ): Boolean = evidence.shrink(answeredAt) { if (it.request == request) it.copy(request = null) else it }
 
     private companion object {
         /** Number of processes that repeat evidence. */
         const val REPEATERS = 2
 
-        /** Number of parts of a prompt that are remembered. */
-        const val MAXIMUM_PARTS = 8
-
-        /** Pieces of evidence, and answered parts, that fit into one datagram. */
-        const val EVIDENCE_PER_REPORT = 4
+        /** Pieces of evidence, answered parts and completed requests that fit into one datagram. */
+        const val EVIDENCE_PER_REPORT = 3
         const val ANSWERS_PER_REPORT = 16
+        const val COMPLETIONS_PER_REPORT = 8
 
         /** Time for which an observer reports its own evidence, whoever repeats it. */
         val OWN_REPORT_TIME = 1.seconds
@@ -279,8 +271,5 @@
 
         /** Time for which old evidence is kept until the rest of what makes up a verdict has been received. */
         val LEARNING_TIME = 3.seconds
-
-        /** Time for which it is reported that an answer was written with a suspected part. */
-        val ANSWER_REPORT_TIME = 1.seconds
     }
 }
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/quarantine/PromptQuarantineTest.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/quarantine/PromptQuarantineTest.kt
@@ -24,6 +24,16 @@
 
         fun quarantine(host: String = "entry-1") = PromptQuarantine(HostName(host), Incarnation(1))
 
+        fun PromptQuarantine.lost(
+            target: String,
+            parts: List<PromptPart>,
+            hasBegun: Boolean,
+            now: Instant,
+        ) {
+            val stage = if (hasBegun) LossStage.BEGUN else LossStage.WAITING
+            lost(TargetName(target), RequestTraits(parts, request = null), stage, sentAt = now, now = now)
+        }
+
         data class Event(
             val at: Duration,
             val parts: List<PromptPart>,
@@ -53,7 +63,7 @@
             if (event.crashed == null) {
                 answered(event.parts, now)
             } else {
-                lost(TargetName(event.crashed), event.parts, event.hasBegun, now)
+                lost(event.crashed, event.parts, event.hasBegun, now)
             }
         }
 
@@ -218,9 +228,9 @@
             val random = Random(7)
             val quarantines = listOf("a", "b", "c", "d").map(::HostName).associateWith { quarantine(it.text) }
             val hosts = quarantines.keys.toList()
-            quarantines.getValue(hosts[0]).lost(TargetName("t1"), listOf(first, deadly), hasBegun = true, start)
+            quarantines.getValue(hosts[0]).lost("t1", listOf(first, deadly), hasBegun = true, start)
             quarantines.getValue(hosts[1]).lost(
-                TargetName("t2"),
+                "t2",
                 listOf(first, deadly),
                 hasBegun = true,
                 start + 600.milliseconds,
@@ -236,8 +246,8 @@
         test("an answer that one process saw withdraws the verdict at all of them") {
             val quarantines = listOf("a", "b", "c").map(::HostName).associateWith { quarantine(it.text) }
             val (a, b) = quarantines.values.toList()
-            a.lost(TargetName("t1"), listOf(deadly), hasBegun = true, start)
-            a.lost(TargetName("t2"), listOf(deadly), hasBegun = true, start + 1.seconds)
+            a.lost("t1", listOf(deadly), hasBegun = true, start)
+            a.lost("t2", listOf(deadly), hasBegun = true, start + 1.seconds)
             exchange(quarantines, start + 1.seconds)
             b.answered(listOf(deadly), start + 1100.milliseconds)
             repeat(30) { exchange(quarantines, start + 1200.milliseconds + 100.milliseconds * it) }
@@ -248,8 +258,8 @@
             val hosts = listOf("a", "b", "c").map(::HostName)
             val quarantines = hosts.associateWith { quarantine(it.text) }
             val observer = quarantines.getValue(hosts[0])
-            observer.lost(TargetName("t1"), listOf(deadly), hasBegun = true, start)
-            observer.lost(TargetName("t2"), listOf(deadly), hasBegun = true, start + 1.seconds)
+            observer.lost("t1", listOf(deadly), hasBegun = true, start)
+            observer.lost("t2", listOf(deadly), hasBegun = true, start + 1.seconds)
             exchange(quarantines, start + 1.seconds)
             val rest = (quarantines - hosts[0]) + (HostName("d") to quarantine("d"))
             repeat(15) { exchange(rest, start + 2.seconds + 100.milliseconds * it) }
@@ -268,8 +278,8 @@
         test("a process that restarts learns again of the crashes that it had observed itself") {
             val before = quarantine("a")
             val other = quarantine("b")
-            before.lost(TargetName("t1"), listOf(deadly), hasBegun = true, start)
-            before.lost(TargetName("t2"), listOf(deadly), hasBegun = true, start + 1.seconds)
+            before.lost("t1", listOf(deadly), hasBegun = true, start)
+            before.lost("t2", listOf(deadly), hasBegun = true, start + 1.seconds)
             before.reports(setOf(HostName("b")), start + 1.seconds).forEach { other.received(it, start + 1.seconds) }
             val restarted = PromptQuarantine(HostName("a"), Incarnation(2))
             other.reports(setOf(HostName("a")), start + 3.seconds).forEach { restarted.received(it, start + 3.seconds) }
@@ -286,8 +296,8 @@
 
         test("an answer counts against evidence that arrives after it") {
             val (observer, witness) = listOf(quarantine("a"), quarantine("b"))
-            observer.lost(TargetName("t1"), listOf(first), hasBegun = true, start)
-            observer.lost(TargetName("t2"), listOf(first), hasBegun = true, start + 10.milliseconds)
+            observer.lost("t1", listOf(first), hasBegun = true, start)
+            observer.lost("t2", listOf(first), hasBegun = true, start + 10.milliseconds)
             witness.answered(listOf(first), start + 50.milliseconds)
             val now = start + 100.milliseconds
             observer.reports(setOf(HostName("b")), now).forEach { witness.received(it, now) }
@@ -306,7 +316,7 @@
 
         test("processes do not keep evidence alive by reporting it to each other") {
             val quarantines = listOf("a", "b", "c").map(::HostName).associateWith { quarantine(it.text) }
-            quarantines.values.first().lost(TargetName("t1"), listOf(deadly), hasBegun = true, start)
+            quarantines.values.first().lost("t1", listOf(deadly), hasBegun = true, start)
             repeat(1300) { exchange(quarantines, start + 100.milliseconds * it) }
             quarantines.values.map { it.isEmpty } shouldBe List(3) { true }
         }
@@ -315,7 +325,7 @@
             val (observer, receiver) = listOf(quarantine("a"), quarantine("b"))
             repeat(256) { number ->
                 val parts = listOf("first", "s$number", "r$number").map(::PromptPart)
-                observer.lost(TargetName("t$number"), parts, hasBegun = true, start)
+                observer.lost("t$number", parts, hasBegun = true, start)
                 observer.answered(listOf(first), start + 1.milliseconds)
             }
             val now = start + 2.milliseconds
@@ -332,7 +342,7 @@
             val quarantine = quarantine()
             repeat(10_000) { number ->
                 quarantine.lost(
-                    TargetName("t$number"),
+                    "t$number",
                     listOf(PromptPart("p$number")),
                     hasBegun = true,
                     start + 1.seconds * number,
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/quarantine/QuarantineSimulation.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/quarantine/QuarantineSimulation.kt
@@ -212,7 +212,9 @@
         if (target.downUntil > now) {
             after(5.milliseconds * random.nextDouble()) {
                 at(run.process) {
-                    run.process.quarantine.lost(target.name, run.request.parts, run.hasBegun, lostAt)
+                    val traits = RequestTraits(run.request.parts, request = null)
+                    val stage = if (run.hasBegun) LossStage.BEGUN else LossStage.WAITING
+                    run.process.quarantine.lost(target.name, traits, stage, sentAt = lostAt, now = lostAt)
                     report(run.process)
                 }
             }
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/PromptGuard.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/PromptGuard.kt
@@ -8,8 +8,10 @@
 import tanagerlane.message.CrashReport
 import tanagerlane.model.PromptPart
 import tanagerlane.places.DirectTarget
+import tanagerlane.quarantine.LossStage
 import tanagerlane.quarantine.PromptQuarantine
 import tanagerlane.quarantine.QuarantinedPart
+import tanagerlane.quarantine.RequestTraits
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
 
@@ -59,7 +61,8 @@
                 parts.joinToString(",") { it.text },
             )
             if (hasCrashed) {
-                quarantine.lost(target.name, parts, hasBegun, lostAt)
+                val stage = if (hasBegun) LossStage.BEGUN else LossStage.WAITING
+                quarantine.lost(target.name, RequestTraits(parts, request = null), stage, lostAt, lostAt)
                 metrics.crashEvidence.increment()
                 changes.trySend(Unit)
             }
