Keep requests that crash targets from them

Cause: a request without shared prompt parts left no evidence when it was lost with its target, and neither did a break after the first event. It was sent on to the next target, then by its caller to the next entry, as often as it came.

Change: each lost request is reported with its digest, with its stage and the time at which it was sent. Before each attempt its digest is compared while there is evidence about any request; a quarantined one is refused as QUARANTINED with the rest of the term. A request with two crashes is not offered to another target after a loss. Whole answers below 500 clear it. Requests that are lost together share the check whether their target has crashed. Items of jobs have no digest.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/quarantine/RequestIdentity.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/quarantine/RequestIdentity.kt
@@ -1,5 +1,6 @@
 package tanagerlane.quarantine
 
+import tanagerlane.model.PromptPart
 import tanagerlane.model.RequestDigest
 import java.io.DataOutputStream
 import java.io.OutputStream
@@ -11,6 +12,7 @@
  *
  * @param caller name of the workspace, or the caller's key if it belongs to none; null if there is neither
  * @param uri path and query
+ * @param parts parts of the prompt, as far as headers describe it
  */
 public class RequestIdentity(
     private val caller: String?,
@@ -18,6 +20,7 @@
     private val host: String,
     private val uri: String,
     private val body: ByteArray,
+    private val parts: List<PromptPart> = emptyList(),
 ) {
     /** Returns the digest under which processes tell each other of the request; takes time in proportion to the body. */
     public fun digest(): RequestDigest {
@@ -27,6 +30,7 @@
                 output.writeField(text.encodeToByteArray())
             }
             output.writeField(body)
+            parts.forEach { output.writeField(it.text.encodeToByteArray()) }
         }
         return RequestDigest(digest.digest().copyOf(DIGEST_BYTES).toHexString())
     }
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/quarantine/RequestQuarantineTest.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/quarantine/RequestQuarantineTest.kt
@@ -297,7 +297,8 @@
                 host: String = "h",
                 uri: String = "/a",
                 body: String = "b",
-            ) = RequestIdentity(caller, method, host, uri, body.encodeToByteArray()).digest()
+                vararg parts: String,
+            ) = RequestIdentity(caller, method, host, uri, body.encodeToByteArray(), parts.map(::PromptPart)).digest()
             val digests =
                 listOf(
                     digest(),
@@ -307,6 +308,9 @@
                     digest(host = "i"),
                     digest(uri = "/b"),
                     digest(body = "c"),
+                    digest(parts = arrayOf("p", "q")),
+                    digest(parts = arrayOf("p", "r")),
+                    digest(parts = arrayOf("pq")),
                     digest(host = "h/", uri = "a"),
                     digest(uri = "/ab", body = ""),
                 )
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/AnswerForwarder.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/AnswerForwarder.kt
@@ -6,7 +6,7 @@
 import org.slf4j.LoggerFactory
 import tanagerlane.places.DirectTarget
 import tanagerlane.places.LoadBalancer
-import tanagerlane.runtime.AnswerPieces
+import tanagerlane.quarantine.LossStage
 import tanagerlane.serving.AttemptEnd
 import tanagerlane.serving.RouteKind
 import tanagerlane.streams.AnswerLimits
@@ -63,7 +63,7 @@
         target: DirectTarget,
         answer: TargetAnswer,
     ): AttemptEnd? {
-        val content = withTimeoutOrNull(request.deadline - now()) { contentOf(request, target, answer.pieces) }
+        val content = withTimeoutOrNull(request.deadline - now()) { contentOf(request, target, answer) }
         if (content == null) {
             loadBalancer.failed(target.name, now())
             return AttemptEnd.LOST
@@ -74,6 +74,7 @@
         } else {
             recordAnswered(target, answer)
             loadBalancer.succeeded(target.name)
+            promptGuard.completed(request)
         }
         if (answer.status in SUCCESS) {
             promptGuard.answered(request.sharedParts)
@@ -110,15 +111,13 @@
     private suspend fun contentOf(
         request: OnlineRequest,
         target: DirectTarget,
-        pieces: AnswerPieces,
+        answer: TargetAnswer,
     ): Buffer? {
         val content = Buffer.buffer()
         while (true) {
-            val piece = pieces.receiveCatching()
+            val piece = answer.pieces.receiveCatching()
             piece.exceptionOrNull()?.let {
-                if (content.length() == 0) {
-                    promptGuard.lost(target, request.id, request.sharedParts, hasBegun = true)
-                }
+                recordLost(request, target, answer, hasContent = content.length() > 0)
                 logger.info("body broke off bytes={} cause={}", content.length(), it.toString())
                 return null
             }
@@ -135,6 +134,16 @@
         }
     }
 
+    private fun recordLost(
+        request: OnlineRequest,
+        target: DirectTarget,
+        answer: TargetAnswer,
+        hasContent: Boolean,
+    ) {
+        val stage = if (hasContent) LossStage.STREAMING else LossStage.BEGUN
+        promptGuard.lost(target, request, stage, sentAt = now() - answer.timeSinceSent)
+    }
+
     private fun recordAnswered(
         target: DirectTarget,
         answer: TargetAnswer,
@@ -157,9 +166,7 @@
                     ?: withTimeoutOrNull(timeout) { answer.pieces.receiveCatching() }
                     ?: return recordBroken(request, target, "event incomplete, waited $timeout for the next bytes")
             piece.exceptionOrNull()?.let {
-                if (!hasEvents) {
-                    promptGuard.lost(target, request.id, request.sharedParts, hasBegun = true)
-                }
+                recordLost(request, target, answer, hasContent = hasEvents)
                 return recordBroken(request, target, it.toString())
             }
             val bytes = piece.getOrNull() ?: break
@@ -199,6 +206,7 @@
         begin(request, answer)
         request.exchange.end()
         loadBalancer.succeeded(target.name)
+        promptGuard.completed(request)
         metrics.answered(request.route.kind, now() - request.exchange.arrivedAt)
         logger.info(
             "stream ended request={} target={} last_event={} age={}",
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectMetrics.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectMetrics.kt
@@ -48,12 +48,15 @@
     /** Results of batch items that were added to the result lists of their jobs. */
     val listed: Counter = Counter.builder("tanagerlane.items.listed").register(registry)
 
-    /** Requests that were lost before their first event because their target crashed. */
+    /** Requests that were lost because their target crashed. */
     val crashEvidence: Counter = Counter.builder("tanagerlane.requests.lost.in.crashes").register(registry)
 
     /** Parts of prompts that are quarantined, or were until lately. */
     val quarantinedParts: AtomicInteger = registry.gauge("tanagerlane.prompts.quarantined", AtomicInteger())
 
+    /** Requests that are quarantined, or were until lately. */
+    val quarantinedRequests: AtomicInteger = registry.gauge("tanagerlane.requests.quarantined", AtomicInteger())
+
     /** Shows what of [budget] is held, and how many answers were ended because it was exceeded. */
     fun observe(budget: AnswerBudget) {
         registry.gauge("tanagerlane.answers.held.bytes", budget) { it.heldBytes.toDouble() }
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineHandler.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineHandler.kt
@@ -7,6 +7,7 @@
 import tanagerlane.model.RunState
 import tanagerlane.places.DirectTarget
 import tanagerlane.places.LoadBalancer
+import tanagerlane.quarantine.LossStage
 import tanagerlane.serving.AttemptEnd
 import tanagerlane.serving.NextStep
 import kotlin.time.Duration
@@ -46,19 +47,32 @@
 
     /** Sends the request to one target; returns the next step, or null if the request has its final answer. */
     private suspend fun attempt(request: OnlineRequest): NextStep? {
-        if (promptGuard.findQuarantined(request.sharedParts) != null) {
+        if (promptGuard.quarantinedUntil(request) != null) {
             return withoutTarget(request, RefusalReason.QUARANTINED)
         }
         val next =
             places.use(request) { target ->
                 val end = callTarget(request, target) ?: return@use null
                 recordEnd(request, target, end)
-                val remaining = request.deadline - now()
-                NextStep.after(end, request.route, request.possibleRuns, request.notRunAttempts, remaining)
+                stepAfter(end, request)
             }
         return next.getOrElse { withoutTarget(request, it) }
     }
 
+    private fun stepAfter(
+        end: AttemptEnd,
+        request: OnlineRequest,
+    ): NextStep {
+        val remaining = request.deadline - now()
+        val step = NextStep.after(end, request.route, request.possibleRuns, request.notRunAttempts, remaining)
+        val isFurtherCrashLikely = end == AttemptEnd.LOST && promptGuard.isSuspected(request)
+        return if (step == NextStep.TryElsewhere && isFurtherCrashLikely) {
+            NextStep.GiveUp(RefusalReason.OUTCOME_UNKNOWN, RunState.UNKNOWN)
+        } else {
+            step
+        }
+    }
+
     private fun withoutTarget(
         request: OnlineRequest,
         reason: RefusalReason,
@@ -107,6 +121,7 @@
                     ),
                 body = request.body,
             )
+        val sentAt = now()
         return client.call(target, outgoing, headTimeout(request, remaining)).fold(
             success = { answer ->
                 try {
@@ -121,7 +136,7 @@
                     loadBalancer.failed(target.name, now())
                 }
                 if (fault is CallFault.Lost) {
-                    promptGuard.lost(target, request.id, request.sharedParts, hasBegun = false)
+                    promptGuard.lost(target, request, LossStage.WAITING, sentAt)
                 }
                 if (fault is CallFault.NotSent) AttemptEnd.NOT_RUN else AttemptEnd.LOST
             },
@@ -163,7 +178,7 @@
             request.waitingRefusal?.reason,
         )
         val forecast = request.waitingRefusal?.retryAfter ?: RETRY_AFTER
-        val retryAfter = promptGuard.findQuarantined(request.sharedParts)?.let { it.until - now() } ?: forecast
+        val retryAfter = promptGuard.quarantinedUntil(request)?.let { it - now() } ?: forecast
         if (request.isAnswerStarted) request.exchange.abort() else request.exchange.refuse(refusal, retryAfter)
     }
 
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineRequest.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineRequest.kt
@@ -3,9 +3,11 @@
 import io.vertx.core.buffer.Buffer
 import tanagerlane.admission.WaitingDecision
 import tanagerlane.model.PromptPart
+import tanagerlane.model.RequestDigest
 import tanagerlane.model.ServiceName
 import tanagerlane.model.TargetName
 import tanagerlane.places.PlacementRequest
+import tanagerlane.quarantine.RequestIdentity
 import tanagerlane.serving.ServingRoute
 import tanagerlane.serving.ServingWorkspace
 import kotlin.time.Instant
@@ -43,9 +45,24 @@
     /** Why the request was refused for want of a place after or instead of a wait, or null. */
     var waitingRefusal: WaitingDecision.Refused? = null
 
+    /** Identity of the request, or null unless [identify] was called. */
+    var digest: RequestDigest? = null
+        private set
+
     /** Whether the head of the answer has been sent to the caller. */
     val isAnswerStarted: Boolean get() = exchange.isAnswerStarted
 
+    /** Returns the identity of the request, which takes time in proportion to its body when called first. */
+    fun identify(): RequestDigest =
+        digest ?: RequestIdentity(
+            caller = workspace?.name?.text ?: exchange.key,
+            method = exchange.method.name(),
+            host = exchange.host,
+            uri = exchange.uri,
+            body = body.bytes,
+            parts = sharedParts,
+        ).digest().also { digest = it }
+
     /** Returns the request for a target to which the next attempt may be sent by [rules]. */
     fun placement(rules: TargetRules): PlacementRequest =
         PlacementRequest(service, triedTargets, mayUse = rules.targetsFor(route, workspace))
