Check the quarantine again once a request has its place

Cause: a request may wait for a place while the verdict on it is reached, and was sent nevertheless. Checks whether a target has crashed that outlive their client ended in an uncaught exception.

Change: the verdict is looked up before and after the wait for a place. A closed client counts as no crash.

No test covers the wait.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineHandler.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineHandler.kt
@@ -52,6 +52,10 @@
         }
         val next =
             places.use(request) { target ->
+                // The verdict may have been reached while the request waited for its place.
+                if (promptGuard.quarantinedUntil(request) != null) {
+                    return@use withoutTarget(request, RefusalReason.QUARANTINED)
+                }
                 val end = callTarget(request, target) ?: return@use null
                 recordEnd(request, target, end)
                 stepAfter(end, request)
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetClient.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetClient.kt
@@ -106,6 +106,10 @@
         } catch (exception: IOException) {
             logger.debug("connect failed target={} cause={}", target.name, exception.toString())
             false
+        } catch (exception: IllegalStateException) {
+            // The client is closed, as the process stops.
+            logger.debug("connect failed target={} cause={}", target.name, exception.toString())
+            false
         }
 
     /** Closes the idle connections to targets at addresses other than [addresses]. */
