--- a/tanagerlane-core/src/test/kotlin/tanagerlane/quarantine/PromptQuarantineTest.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/quarantine/PromptQuarantineTest.kt
@@ -7,7 +7,6 @@
 import tanagerlane.model.HostName
 import tanagerlane.model.Incarnation
 import tanagerlane.model.PromptPart
-import tanagerlane.model.TargetName
 import java.lang.management.ManagementFactory
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -24,16 +23,6 @@
 
         fun quarantine(host: String = "entry-1") = PromptQuarantine(HostName(host), Incarnation(1))
 
-        fun PromptQuarantine.lost(
-            target: String,
-            parts: List<PromptPart>,
-            hasBegun: Boolean,
-            now: Instant,
-        ) {
-            val stage = if (hasBegun) LossStage.BEGUN else LossStage.WAITING
-            lost(TargetName(target), RequestTraits(parts, request = null), stage, sentAt = now, now = now)
-        }
-
         data class Event(
             val at: Duration,
             val parts: List<PromptPart>,
