Tell a process that has just started of crashes at once

Evidence is repeated once a second, by two processes a target, and the new process counts as one of them.

The two processes that rank first for a process which is heard for the first time, or again, send it what they know as soon as they hear it.

NewcomerTest is on the new function. CrashingPromptTest, PromptQuarantineTest, RequestQuarantine tests and QuarantineSimulationTest pass.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/quarantine/PromptQuarantine.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/quarantine/PromptQuarantine.kt
@@ -175,25 +175,47 @@
             }
         }
 
+    /**
+     * Returns the reports to be sent to [newcomer], from which no messages were received for a while.
+     *
+     * A few processes send it what they know, so that one that has just started need not wait until it is repeated.
+     *
+     * @param reachable other processes from which messages are received
+     */
+    public fun reportsFor(
+        newcomer: HostName,
+        reachable: Set<HostName>,
+        now: Instant,
+    ): List<CrashReport> =
+        synchronized(lock) {
+            if (!isRepeater(newcomer.text, reachable - newcomer)) return emptyList()
+            val known = evidence.all.map { it.request }.filter { isWorthRepeating(it, now) }
+            known.map { it.toMessage(now) }.chunked(EVIDENCE_PER_REPORT).map { CrashReport(own, it, emptyList()) }
+        }
+
     private fun isReported(
         request: LostRequest,
         reachable: Set<HostName>,
         now: Instant,
     ): Boolean =
-        when {
-            request.isSpent -> false
-            request.isFreshOwn(now) -> true
-            else -> isWorthRepeating(request) && evidence.counts(request, now) && request.isRepeatedHere(reachable)
-        }
+        (request.isFreshOwn(now) && !request.isSpent) ||
+            (isWorthRepeating(request, now) && isRepeater(request.target.text, reachable))
 
     /** A request that was lost in one crash only proves nothing; evidence is repeated once there is a second one. */
-    private fun isWorthRepeating(request: LostRequest): Boolean =
-        request.parts.isNotEmpty() || (evidence.requests[request.request]?.crashes ?: 0) > 1
+    private fun isWorthRepeating(
+        request: LostRequest,
+        now: Instant,
+    ): Boolean {
+        val crashes = evidence.requests[request.request]?.crashes ?: 0
+        return (request.parts.isNotEmpty() || crashes > 1) && evidence.counts(request, now)
+    }
 
     private fun LostRequest.isFreshOwn(now: Instant): Boolean = id.observer == own && now - at <= OWN_REPORT_TIME
 
-    private fun LostRequest.isRepeatedHere(reachable: Set<HostName>): Boolean =
-        own in RendezvousHash.ranked(target.text, reachable + own) { it.text }.take(REPEATERS)
+    private fun isRepeater(
+        key: String,
+        reachable: Set<HostName>,
+    ): Boolean = own in RendezvousHash.ranked(key, reachable + own) { it.text }.take(REPEATERS)
 
     private fun reportPause(
         request: LostRequest,
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/Fleet.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/Fleet.kt
@@ -52,6 +52,9 @@
             now = now,
         )
 
+    /** Called with a process from which no message was received for [SILENCE_TIMEOUT], or ever, before its first one. */
+    var onPeerHeard: (HostName) -> Unit = {}
+
     /** Host of this process. */
     val ownHost: HostName get() = hello.host
 
@@ -170,6 +173,7 @@
         if (lastMessageAt.put(from, now()) == null) {
             lastView = null
             logger.info("peer heard host={} reachable={}", from, lastMessageAt.size)
+            onPeerHeard(from)
         }
         onMessage(from, message)
     }
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/PromptGuard.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/PromptGuard.kt
@@ -31,6 +31,14 @@
     private var knownParts: Map<PromptPart, QuarantinedPart> = emptyMap()
     private var knownRequests: Map<RequestDigest, QuarantinedRequest> = emptyMap()
 
+    init {
+        fleet.onPeerHeard = { host ->
+            if (!quarantine.isEmpty) {
+                quarantine.reportsFor(host, fleet.reachable, now()).forEach { fleet.send(listOf(host), it) }
+            }
+        }
+    }
+
     /** Returns the part because of which a request with the shared [parts] must not reach a target, or null. */
     fun findQuarantined(parts: List<PromptPart>): QuarantinedPart? = quarantine.findQuarantined(parts, now())
 
