Test one request that crashes target after target

A request without shared prompt parts is sent to target after target, whatever it did to those before: evidence of crashes is kept for parts of prompts only.

FakeTarget ends runs early by what a test makes of the request, and crashes without one; FakeDeployment takes keys of further workspaces.

--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeDeployment.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeDeployment.kt
@@ -44,6 +44,7 @@
  * A small deployment whose objects and bodies are plain text, for tests of processes that call targets directly.
  *
  * @param domains failure domains of targets by name; of all others it is `a`
+ * @param furtherKeys workspaces by their keys, besides the one of `good-key`
  */
 internal class FakeDeployment(
     private val vertx: Vertx,
@@ -53,6 +54,7 @@
     private val coldRate: Double? = null,
     private val pacing: Boolean = false,
     private val limits: CallerLimits = CallerLimits(maximumBodyBytes = 100_000),
+    furtherKeys: Map<String, String> = emptyMap(),
 ) {
     val store = MemoryObjectStore()
     private val service = ServiceName("models")
@@ -61,9 +63,11 @@
             route("/streams/", RouteKind.STREAM, attempts = 2, resumable = true),
             route("/once/", RouteKind.STREAM, attempts = 1, resumable = false),
             route("/calls/", RouteKind.SAFE, attempts = 2, resumable = false),
+            route("/unsafe/", RouteKind.UNSAFE, attempts = 1, resumable = false),
             route("/jobs/", RouteKind.BATCH, attempts = 2, resumable = true),
         )
     private val workspace = WorkspaceName("crews")
+    private val furtherWorkspaces = furtherKeys.mapValues { WorkspaceName(it.value) }
 
     /** Configurations by revision; the object of the configuration holds the revision. */
     private val configurations = ConcurrentHashMap(mapOf(1L to configuration(1, defaultRoutes)))
@@ -225,8 +229,9 @@
     ) = ServingConfiguration(
         revision = Revision(revision),
         routes = routes,
-        workspaces = mapOf(workspace to ServingWorkspace(workspace, rate, priority = null)),
-        keys = keys.associateWith { workspace },
+        workspaces =
+            (furtherWorkspaces.values + workspace).associateWith { ServingWorkspace(it, rate, priority = null) },
+        keys = furtherWorkspaces + keys.associateWith { workspace },
         limits = limits,
         services = mapOf(service to ServiceSettings(service, coldRate?.let { 60.seconds }, coldRate)),
     )
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeTarget.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeTarget.kt
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Future
 import io.vertx.core.Vertx
+import io.vertx.core.http.HttpConnection
 import io.vertx.core.http.HttpServer
 import io.vertx.core.http.HttpServerRequest
 import io.vertx.core.http.HttpServerResponse
@@ -9,6 +10,7 @@
 import tanagerlane.standin.http.EndlessTarget
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.TimeSource
 
 /**
  * A target that streams numbered events.
@@ -56,10 +58,16 @@
     @Volatile
     var crashesOn: String? = null
 
-    /** Number of crashes; connections are refused for [restartMilliseconds] after each. */
+    /** Returns how the run of a request ends early, or null if the request is answered. */
     @Volatile
-    var crashes = 0
-        private set
+    var endsEarly: (FakeRun) -> EarlyEnd? = { null }
+
+    /** Runs of requests, in the order in which their bodies were complete. */
+    val runs = CopyOnWriteArrayList<FakeRun>()
+
+    /** Crashes; connections are refused for [restartMilliseconds] after each. */
+    val crashed = CopyOnWriteArrayList<FakeCrash>()
+    val crashes: Int get() = crashed.size
 
     /** Returns the piece that is sent endlessly to the request with the given id, or null if it gets a stream. */
     @Volatile
@@ -75,8 +83,12 @@
     var port = 0
         private set
 
+    @Volatile
     private var server: HttpServer? = null
 
+    @Volatile
+    private var isDown = false
+
     suspend fun start(): FakeTarget {
         port = listen().coAwait().actualPort()
         return this
@@ -89,13 +101,24 @@
             .listen(port, "127.0.0.1")
             .onSuccess { server = it }
 
-    /** Sends the head of an answer, then ends all connections and refuses new ones until the target has restarted. */
-    private fun crash(response: HttpServerResponse) {
-        crashes++
-        val connection = response.setChunked(true).also { it.writeHead() }
-        vertx.setTimer(1) { connection.reset() }
-        vertx.setTimer(1 + listenerMilliseconds) { server?.close() }
-        vertx.setTimer(restartMilliseconds) { listen() }
+    /**
+     * Ends all connections and refuses new ones until the target has restarted; does nothing while it is down.
+     *
+     * @param run request that crashes the target, or null
+     * @param connection connection that ends first
+     */
+    fun crash(
+        run: FakeRun? = null,
+        connection: HttpConnection? = null,
+    ) {
+        if (isDown) {
+            return
+        }
+        isDown = true
+        crashed += FakeCrash(run, TimeSource.Monotonic.markNow())
+        connection?.close()
+        if (listenerMilliseconds == 0L) server?.close() else vertx.setTimer(listenerMilliseconds) { server?.close() }
+        vertx.setTimer(restartMilliseconds) { listen().onSuccess { isDown = false } }
     }
 
     private fun serve(request: HttpServerRequest) {
@@ -110,9 +133,12 @@
                 .orEmpty()
                 .split(',')
                 .map { it.substringBefore(':') }
-        request.body().onSuccess {
+        request.body().onSuccess { body ->
+            val run = FakeRun(request.path().orEmpty(), body.toString(), request.getHeader("Tenant"))
+            runs += run
+            val end = if (crashesOn in parts) EarlyEnd(events = 0, delayMilliseconds = 1) else endsEarly(run)
             when {
-                crashesOn in parts -> crash(response)
+                end != null -> endEarly(run, end, request, after + 1)
                 isSilent -> Unit
                 refuses -> response.putHeader("Not-Run", "1").setStatusCode(503).end()
                 status != 200 -> response.setStatusCode(status).end("failed")
@@ -121,6 +147,25 @@
         }
     }
 
+    private fun endEarly(
+        run: FakeRun,
+        end: EarlyEnd,
+        request: HttpServerRequest,
+        first: Int,
+    ) {
+        if (end.events != null) {
+            val response = request.response().setChunked(true).also { it.writeHead() }
+            repeat(end.events) { response.write("id: ${first + it}\ndata: event\n\n") }
+        }
+        vertx.setTimer(end.delayMilliseconds) {
+            when (end.kind) {
+                EndKind.CRASH -> crash(run, request.connection())
+                EndKind.CUT -> request.connection().close()
+                EndKind.LATE_ANSWER -> stream(request.response().setChunked(true), first)
+            }
+        }
+    }
+
     private fun answerRequest(
         id: String,
         response: HttpServerResponse,
@@ -197,6 +242,42 @@
         }
     }
 
+    /** A request whose body is complete; [workspace] is the one that the target was told. */
+    data class FakeRun(
+        val path: String,
+        val body: String,
+        val workspace: String?,
+        val at: TimeSource.Monotonic.ValueTimeMark = TimeSource.Monotonic.markNow(),
+    )
+
+    /** A crash that [run] has caused, if a request has. */
+    data class FakeCrash(
+        val run: FakeRun?,
+        val at: TimeSource.Monotonic.ValueTimeMark,
+    )
+
+    /**
+     * How a run ends before its answer is whole.
+     *
+     * @property events number of events sent before it ends, or null if not even the head is sent
+     * @property delayMilliseconds time from there to the end, in milliseconds
+     */
+    data class EarlyEnd(
+        val events: Int? = null,
+        val delayMilliseconds: Long = 50,
+        val kind: EndKind = EndKind.CRASH,
+    )
+
+    enum class EndKind {
+        CRASH,
+
+        /** Only the connection of the request is closed. */
+        CUT,
+
+        /** The whole answer is sent after a silence. */
+        LATE_ANSWER,
+    }
+
     /** [text] is sent repeatedly, without a pause or every [pauseMilliseconds]. */
     data class EndlessPiece(
         val text: String,
