Count a crash for each request that was running at the target

CrashingRequestTest with two requests at once failed on the code that refuses both: FakeTarget charged a crash to the request whose timer came first, so the other one, which was lost in the same crashes, had none. A crash now counts for all requests that were to crash the target, which puts the third one earlier and so the bound no later than before.

--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/CrashingRequestTest.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/CrashingRequestTest.kt
@@ -171,8 +171,7 @@
             }
             site.targets
                 .flatMap { it.crashed }
-                .mapNotNull { it.run?.path }
-                .toSet()
+                .flatMap { it.runs }
                 .shouldNotBeEmpty()
             runs.values.min() shouldBeGreaterThan EARLY_ENDS
         }
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeTarget.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeTarget.kt
@@ -88,6 +88,7 @@
 
     @Volatile
     private var isDown = false
+    private val crashing = CopyOnWriteArrayList<FakeRun>()
 
     suspend fun start(): FakeTarget {
         port = listen().coAwait().actualPort()
@@ -104,18 +105,15 @@
     /**
      * Ends all connections and refuses new ones until the target has restarted; does nothing while it is down.
      *
-     * @param run request that crashes the target, or null
      * @param connection connection that ends first
      */
-    fun crash(
-        run: FakeRun? = null,
-        connection: HttpConnection? = null,
-    ) {
+    fun crash(connection: HttpConnection? = null) {
         if (isDown) {
             return
         }
         isDown = true
-        crashed += FakeCrash(run, TimeSource.Monotonic.markNow())
+        crashed += FakeCrash(crashing.toList(), TimeSource.Monotonic.markNow())
+        crashing.clear()
         connection?.close()
         if (listenerMilliseconds == 0L) server?.close() else vertx.setTimer(listenerMilliseconds) { server?.close() }
         vertx.setTimer(restartMilliseconds) { listen().onSuccess { isDown = false } }
@@ -157,9 +155,10 @@
             val response = request.response().setChunked(true).also { it.writeHead() }
             repeat(end.events) { response.write("id: ${first + it}\ndata: event\n\n") }
         }
+        if (end.kind == EndKind.CRASH) crashing += run
         vertx.setTimer(end.delayMilliseconds) {
             when (end.kind) {
-                EndKind.CRASH -> crash(run, request.connection())
+                EndKind.CRASH -> crash(request.connection())
                 EndKind.CUT -> request.connection().close()
                 EndKind.LATE_ANSWER -> stream(request.response().setChunked(true), first)
             }
@@ -250,9 +249,9 @@
         val at: TimeSource.Monotonic.ValueTimeMark = TimeSource.Monotonic.markNow(),
     )
 
-    /** A crash that [run] has caused, if a request has. */
+    /** A crash; [runs] are those that cause one and were in progress. */
     data class FakeCrash(
-        val run: FakeRun?,
+        val runs: List<FakeRun>,
         val at: TimeSource.Monotonic.ValueTimeMark,
     )
 
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/RequestSite.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/RequestSite.kt
@@ -108,11 +108,11 @@
             .map { it.at }
             .sorted()
 
-    /** Returns the times of the crashes by requests with [body], in their order. */
+    /** Returns the times of the crashes of targets that ran requests with [body], in their order. */
     fun crashesBy(body: String): List<TimeSource.Monotonic.ValueTimeMark> =
         targets
             .flatMap { it.crashed }
-            .filter { it.run?.body == body }
+            .filter { crash -> crash.runs.any { it.body == body } }
             .map { it.at }
             .sorted()
 
