Blame one request for the crashes in which several were lost

Callers of a request that is often under way were refused for a minute beside one that crashes targets, as both were lost in the same crashes. Among requests that are suspected because of the same crashes, the one with more crashes, or with fewer lost runs, explains them. A request that was sent to a target after its crash is no evidence, as it was lost because the target was down.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/quarantine/CrashAnalysis.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/quarantine/CrashAnalysis.kt
@@ -48,21 +48,42 @@
      * Returns what the crashes in which [lost] were lost tell about each request.
      *
      * A request is at fault if target after target crashed, each after it had been sent again. Requests that were under
-     * way at targets that fail together are lost together, and nothing is sent in between.
+     * way at targets that fail together are lost together, and nothing is sent in between. One request is at fault for a
+     * crash, so one that is often under way beside it is not.
      */
     fun judge(lost: Collection<LostRequest>): Map<RequestDigest, SuspectedRequest> {
         if (lost.all { it.request == null }) {
             return emptyMap()
         }
         val losses = LinkedHashMap<RequestDigest, MutableList<Loss>>()
-        for (crash in groupByCrash(lost)) {
-            for ((request, runs) in crash.groupBy { it.request }) {
+        groupByCrash(lost).forEachIndexed { crash, lostInIt ->
+            val crashedAt = lostInIt.first().at
+            // What was sent to a target that had crashed already is lost as well.
+            for ((request, runs) in lostInIt.filter { it.sentAt <= crashedAt }.groupBy { it.request }) {
                 if (request != null) {
-                    losses.getOrPut(request) { ArrayList() } += Loss(crash.first().at, runs.maxOf { it.sentAt })
+                    losses.getOrPut(request) { ArrayList() } +=
+                        Loss(crash, crashedAt, runs.maxOf { it.sentAt }, runs.size)
                 }
             }
         }
-        return losses.mapValues { (request, ofRequest) -> judge(request, ofRequest) }
+        val suspected = losses.mapValues { (request, ofRequest) -> judge(request, ofRequest) }
+        val guilty = losses.filterKeys { suspected.getValue(it).verdict != null }
+        return suspected.mapValues { (request, suspicion) ->
+            val isExplained = request in guilty && guilty.any { (other, _) -> explains(other, request, guilty) }
+            if (isExplained) suspicion.copy(verdict = null) else suspicion
+        }
+    }
+
+    /** Whether [other] was lost in all crashes of [request], and in more crashes or by fewer runs. */
+    private fun explains(
+        other: RequestDigest,
+        request: RequestDigest,
+        losses: Map<RequestDigest, List<Loss>>,
+    ): Boolean {
+        val ofOther = losses.getValue(other)
+        val ofRequest = losses.getValue(request)
+        return ofOther.map { it.crash }.containsAll(ofRequest.map { it.crash }) &&
+            (ofOther.size > ofRequest.size || ofOther.sumOf { it.runs } < ofRequest.sumOf { it.runs })
     }
 
     private fun judge(
@@ -158,10 +179,12 @@
         val position: Int,
     )
 
-    /** A crash at which a request was lost, and when it had been sent. */
+    /** A crash at which [runs] of a request were lost, and when the last of them had been sent. */
     private class Loss(
+        val crash: Int,
         val at: Instant,
         val sentAt: Instant,
+        val runs: Int,
     )
 
     /** Crashes that followed one another. */
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/quarantine/RequestSimulation.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/quarantine/RequestSimulation.kt
@@ -235,6 +235,21 @@
         entry.incarnation++
         entry.quarantine = entry.newQuarantine()
         entry.downUntil = now + RESTART_TIME
+        after(RESTART_TIME) { (entries - entry).filter { it.isReachable() }.forEach { introduce(entry, it) } }
+    }
+
+    private fun introduce(
+        started: Entry,
+        sender: Entry,
+    ) {
+        val reachable = (entries - sender).filter { it.isReachable() }.mapTo(HashSet()) { it.host }
+        for (message in sender.quarantine.reportsFor(started.host, reachable, now)) {
+            if (random.nextDouble() >= troubles.lossShare) {
+                after(1.milliseconds + within(20.milliseconds)) {
+                    at(started) { started.quarantine.received(message, now) }
+                }
+            }
+        }
     }
 
     private class Step(
