--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeDeployment.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeDeployment.kt
@@ -87,10 +87,16 @@
     suspend fun changeRoutes(
         keys: Set<String> = setOf("good-key"),
         change: (List<ServingRoute>) -> List<ServingRoute>,
-    ) {
+    ): Unit = putInForce { configuration(it, change(defaultRoutes), keys) }
+
+    /** Puts a configuration in force that has [newLimits] and the routes at the start. */
+    suspend fun changeLimits(newLimits: CallerLimits): Unit =
+        putInForce { configuration(it, defaultRoutes).copy(limits = newLimits) }
+
+    private suspend fun putInForce(create: (revision: Long) -> ServingConfiguration) {
         val current = store.get(CONFIGURATION).getOrElse { error("$it") }
         val revision = current.value.toText().toLong() + 1
-        configurations[revision] = configuration(revision, change(defaultRoutes), keys)
+        configurations[revision] = create(revision)
         store.put(CONFIGURATION, Payload.of("$revision"), current.version).getOrElse { error("$it") }
     }
 
@@ -102,6 +108,7 @@
      * @param furtherSettings lines of the settings file, one for each setting
      * @param readyPort port for readiness checks, or null if they come to the port for callers
      * @param waiting whether requests that find no place wait
+     * @param address loopback address at which the process listens
      */
     suspend fun start(
         name: String,
@@ -114,6 +121,7 @@
         readyPort: Int? = null,
         furtherSettings: String = "",
         waiting: Boolean = false,
+        address: String = "127.0.0.1",
     ): StartedDaemon {
         val settings =
             SettingsReader
@@ -122,7 +130,7 @@
                     "test",
                     """
                     role = "$role"
-                    callerAddress = "127.0.0.1:${ports[0]}"
+                    callerAddress = "$address:${ports[0]}"
                     ${readyPort?.let { "readyAddress = '127.0.0.1:$it'" }.orEmpty()}
                     stopTime = "$stopTime"
                     ${furtherSettings.replace("\n", "\n                    ")}
@@ -131,7 +139,7 @@
                     [host]
                     name = "$name"
                     failureDomain = "a"
-                    address = "127.0.0.1"
+                    address = "$address"
                     wirePort = ${ports[1]}
                     operatorPort = ${ports[2]}
                     objectApi = "http://127.0.0.1:1"
