Answer calls about jobs in time while the object API hangs

Callers of a submission, of an item and of the end of a job got no answer as long as the object API gave none: only reads of results had a time limit. A submission is answered with 504 (unknown) by the caller's deadline or the timeout of the route, and completes in the background as before; reads of items are refused and ends are answered within the time of other reads. An end of which it is unknown whether it was stored is no longer refused as not run.

RequestEndsTest, rows of SUBMIT, ITEM and END at READ with STORE_HANGS and at STORE with each configuration: before, all 15 had no end after 14 s.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobCallHandler.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobCallHandler.kt
@@ -7,6 +7,7 @@
 import com.github.michaelbull.result.getOrElse
 import io.vertx.core.buffer.Buffer
 import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.async
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
@@ -25,6 +26,7 @@
 import tanagerlane.store.StoreFailure
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
 /**
@@ -56,9 +58,15 @@
                 logger.info("submission refused job={} reason=malformed cause={}", job, fault.reason)
                 return exchange.refuse(notRun(RefusalReason.MALFORMED))
             }
-        // Completes even if the caller disconnects: a caller that submits the job again then finds it accepted.
+        // Completes even if the caller gets no answer: a caller that submits the job again then finds it accepted.
         val outcome =
-            withContext(NonCancellable) { accept(newRecord(job, route, terms, workspace, items), items, terms) }
+            withContext(NonCancellable) {
+                val accepted = async { accept(newRecord(job, route, terms, workspace, items), items, terms) }
+                withTimeoutOrNull(maxOf(exchange.deadline(route.timeout) - now(), MINIMUM_ACCEPTANCE_TIME)) {
+                    accepted.join()
+                } ?: exchange.refuse(unknown(RefusalReason.DEADLINE_EXCEEDED))
+                accepted.await()
+            }
         outcome.fold(
             success = { exchange.answer(ACCEPTED, NO_HEADERS, Buffer.buffer()) },
             failure = { exchange.refuse(it, RETRY_AFTER) },
@@ -117,8 +125,9 @@
         record: JobRecord,
         item: RequestId,
     ) {
+        val read = withTimeoutOrNull(exchange.readDeadline() - now()) { storage.items(record) }
         val items =
-            storage.items(record).getOrElse { failure ->
+            (read ?: Err(NOT_IN_TIME)).getOrElse { failure ->
                 logger.warn("items not read job={} cause={}", record.job, failure)
                 return exchange.refuse(notRun(RefusalReason.STORE_UNAVAILABLE), RETRY_AFTER)
             }
@@ -135,12 +144,13 @@
         exchange: CallerExchange,
         job: JobId,
     ) {
-        val failure = storage.end(job, wallClock()).fold({ null }, { it })
+        val ended = withTimeoutOrNull(exchange.readDeadline() - now()) { storage.end(job, wallClock()) }
+        val failure = (ended ?: Err(StoreFailure.OutcomeUnknown("not known in time"))).fold({ null }, { it })
         logger.info("job end decided job={} failure={}", job, failure)
-        if (failure == null) {
-            exchange.answer(OK, NO_HEADERS, Buffer.buffer())
-        } else {
-            exchange.refuse(notRun(RefusalReason.STORE_UNAVAILABLE), RETRY_AFTER)
+        when (failure) {
+            null -> exchange.answer(OK, NO_HEADERS, Buffer.buffer())
+            is StoreFailure.OutcomeUnknown -> exchange.refuse(unknown(RefusalReason.STORE_UNAVAILABLE))
+            else -> exchange.refuse(notRun(RefusalReason.STORE_UNAVAILABLE), RETRY_AFTER)
         }
     }
 
@@ -159,7 +169,7 @@
         return when (failure) {
             null -> Ok(Unit).also { jobIndex.add(record.copy(parts = parts.size)) }
             is StoreFailure.Conflict -> joinOrRefuse(record, RefusalReason.STORE_UNAVAILABLE)
-            is StoreFailure.OutcomeUnknown -> Err(CallerRefusal(RefusalReason.STORE_UNAVAILABLE, RunState.UNKNOWN))
+            is StoreFailure.OutcomeUnknown -> Err(unknown(RefusalReason.STORE_UNAVAILABLE))
             else -> Err(notRun(RefusalReason.STORE_UNAVAILABLE))
         }
     }
@@ -261,6 +271,8 @@
 
     private fun notRun(reason: RefusalReason) = CallerRefusal(reason, RunState.NOT_RUN)
 
+    private fun unknown(reason: RefusalReason) = CallerRefusal(reason, RunState.UNKNOWN)
+
     private companion object {
         const val OK = 200
         const val ACCEPTED = 202
@@ -270,6 +282,10 @@
         val JOB_NAME_PATTERN = Regex("[A-Za-z0-9._-]{1,128}")
         val NO_HEADERS = emptyMap<String, String>().entries
         val RETRY_AFTER = 300.milliseconds
+
+        /** Time that a submission has at least, once its body has arrived. */
+        val MINIMUM_ACCEPTANCE_TIME = 1.seconds
+        val NOT_IN_TIME = StoreFailure.Unavailable("not known in time")
         val logger = LoggerFactory.getLogger(JobCallHandler::class.java)
     }
 }
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/EndsRow.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/EndsRow.kt
@@ -100,9 +100,9 @@
         /** All rows of requests at [point]. */
         fun at(point: Point): List<EndsRow> =
             when (point) {
-                Point.READ -> rows(Kind.entries, point, listOf(Event.STOP, Event.ROUTE_REMOVED))
+                Point.READ -> rows(Kind.entries, point, listOf(Event.STOP, Event.ROUTE_REMOVED, Event.STORE_HANGS))
                 Point.BODY -> rows(withBody, point, stops + configurations + Event.STOP_OF_TWO + Event.SMALL_BUDGET)
-                Point.STORE -> rows(jobCalls + Kind.LOOKUP, point, stops + Event.STORE_DOWN)
+                Point.STORE -> rows(jobCalls + Kind.LOOKUP, point, stops + configurations + Event.STORE_DOWN)
                 Point.PLACE -> rows(online, point, stops + configurations + targetEvents)
                 Point.HEAD -> rows(online, point, stops + configurations + targetEvents + Event.STOP_OF_TWO)
                 Point.MIDDLE -> rows(online, point, stops + configurations + targetEvents)
