Refuse requests whose query cannot be decoded

Callers got neither an answer nor a refusal for a request with a query such as ?a=%zz: the query was decoded before the exchange began, and the exception was only logged. Such a request is refused as malformed (400).

RequestEndsTest, rows of ODD_QUERY: before, all 3 had no end.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerService.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerService.kt
@@ -100,8 +100,14 @@
         )
     }
 
-    private fun callOf(request: HttpServerRequest): CallerCall {
-        val query = request.params().entries().associate { it.key to it.value }
+    /** Returns the call that [request] makes, or null if its query cannot be decoded. */
+    private fun callOf(request: HttpServerRequest): CallerCall? {
+        val query =
+            try {
+                request.params().entries().associate { it.key to it.value }
+            } catch (_: IllegalArgumentException) {
+                return null
+            }
         return deployment.classify(request.method().name(), request.path().orEmpty(), query)
     }
 
@@ -115,7 +121,7 @@
 
     private fun handle(
         request: HttpServerRequest,
-        call: CallerCall,
+        call: CallerCall?,
     ) {
         val limit = state.configuration()?.limits?.maximumBodyBytes ?: DEFAULT_MAXIMUM_BODY_BYTES
         val gate = connections.gateOf(request.connection())
@@ -158,7 +164,7 @@
 
     private suspend fun serve(
         exchange: CallerExchange,
-        call: CallerCall,
+        call: CallerCall?,
     ) {
         if (!state.acceptsRequests()) {
             // The body is read first: closing a connection while its body arrives would lose the refusal.
@@ -168,6 +174,7 @@
         when (call) {
             is CallerCall.JobCall -> serveJobCall(exchange, call)
             CallerCall.Forward, CallerCall.Readiness -> forward(exchange)
+            null -> refuse(exchange, RefusalReason.MALFORMED)
         }
     }
 
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/EndsRow.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/EndsRow.kt
@@ -26,6 +26,7 @@
         LOOKUP("GET", "/items/other?id=a"),
         UNKNOWN_ROUTE("POST", "/nowhere"),
         WRONG_KEY("POST", "/once/1", key = "bad-key"),
+        ODD_QUERY("POST", "/once/1?a=%zz"),
         ;
 
         /** Returns the text of a request with [id] and [body]. */
