Refuse requests sent ahead when the stop time runs out

Callers got no refusal of a request that was sent ahead of the answer to one that still ran at the end of the stop: that one was answered with 504, the next one began, and all connections were closed before its refusal was written. The stop now waits up to 100 ms of its reserve for these refusals.

RequestEndsTest, rows at AHEAD with STOP_RUNS_OUT: before, all 7 had no end.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerService.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerService.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
@@ -79,15 +80,22 @@
     fun closeIdleConnections(): Unit = connections.closeIdle()
 
     /** Ends all requests, refuses those whose answer has not started, and closes all connections of callers. */
-    fun endAll() {
+    suspend fun endAll() {
         open.take(MAXIMUM_LOGGED_REQUESTS).forEach(::logEnded)
+        endOpen()
+        // Requests that were sent ahead begin once those before them have ended, and are refused.
+        withTimeoutOrNull(LAST_REFUSALS_TIME) { while (connections.hasOpenRequests) delay(LAST_REFUSALS_INTERVAL) }
+        endOpen()
+        connections.closeAll()
+    }
+
+    private fun endOpen() {
         for (exchange in open.toList()) {
             if (!exchange.isAnswerStarted) {
                 exchange.refuse(CallerRefusal(RefusalReason.SHUTTING_DOWN, RunState.UNKNOWN))
             }
             exchange.onAborted("process is stopping")
         }
-        connections.closeAll()
     }
 
     private fun logEnded(exchange: CallerExchange) {
@@ -264,6 +272,10 @@
         const val READINESS_CONNECTIONS = 64
         val RETRY_AFTER = 200.milliseconds
 
+        /** Time limit for the refusal of requests that were sent ahead, at the end of a stop. */
+        val LAST_REFUSALS_TIME = 100.milliseconds
+        val LAST_REFUSALS_INTERVAL = 5.milliseconds
+
         /** Retry delay while this process stops; a retry reaches the rest of the fleet, without this process. */
         val STOP_RETRY_AFTER = 10.milliseconds
         val logger = LoggerFactory.getLogger(CallerService::class.java)
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/EndsRow.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/EndsRow.kt
@@ -108,7 +108,7 @@
                 Point.HEAD -> rows(online, point, stops + configurations + targetEvents + Event.STOP_OF_TWO)
                 Point.MIDDLE -> rows(online, point, stops + configurations + targetEvents)
                 Point.UNREAD -> rows(online, point, listOf(Event.STOP, Event.LIMITS_LOWERED, Event.SMALL_BUDGET))
-                Point.AHEAD -> rows(online + jobCalls, point, stops - Event.STOP_RUNS_OUT + Event.KEY_REMOVED + Event.TARGET_GONE)
+                Point.AHEAD -> rows(online + jobCalls, point, stops + Event.KEY_REMOVED + Event.TARGET_GONE)
             }
 
         private fun rows(
