--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerService.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerService.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
@@ -79,15 +80,22 @@
     fun closeIdleConnections(): Unit = connections.closeIdle()
 
     /** Ends all requests, refuses those whose answer has not started, and closes all connections of callers. */
-    fun endAll() {
+    suspend fun endAll() {
         open.take(MAXIMUM_LOGGED_REQUESTS).forEach(::logEnded)
+        endOpen()
+        // Requests that were sent ahead begin once those before them have ended, and are refused.
+        withTimeoutOrNull(LAST_REFUSALS_TIME) { while (connections.hasOpenRequests) delay(LAST_REFUSALS_INTERVAL) }
+        endOpen()
+        connections.closeAll()
+    }
+
+    private fun endOpen() {
         for (exchange in open.toList()) {
             if (!exchange.isAnswerStarted) {
                 exchange.refuse(CallerRefusal(RefusalReason.SHUTTING_DOWN, RunState.UNKNOWN))
             }
             exchange.onAborted("process is stopping")
         }
-        connections.closeAll()
     }
 
     private fun logEnded(exchange: CallerExchange) {
@@ -100,8 +108,14 @@
         )
     }
 
-    private fun callOf(request: HttpServerRequest): CallerCall {
-        val query = request.params().entries().associate { it.key to it.value }
+    /** Returns the call that [request] makes, or null if its query cannot be decoded. */
+    private fun callOf(request: HttpServerRequest): CallerCall? {
+        val query =
+            try {
+                request.params().entries().associate { it.key to it.value }
+            } catch (_: IllegalArgumentException) {
+                return null
+            }
         return deployment.classify(request.method().name(), request.path().orEmpty(), query)
     }
 
@@ -115,7 +129,7 @@
 
     private fun handle(
         request: HttpServerRequest,
-        call: CallerCall,
+        call: CallerCall?,
     ) {
         val limit = state.configuration()?.limits?.maximumBodyBytes ?: DEFAULT_MAXIMUM_BODY_BYTES
         val gate = connections.gateOf(request.connection())
@@ -158,7 +172,7 @@
 
     private suspend fun serve(
         exchange: CallerExchange,
-        call: CallerCall,
+        call: CallerCall?,
     ) {
         if (!state.acceptsRequests()) {
             // The body is read first: closing a connection while its body arrives would lose the refusal.
@@ -168,6 +182,7 @@
         when (call) {
             is CallerCall.JobCall -> serveJobCall(exchange, call)
             CallerCall.Forward, CallerCall.Readiness -> forward(exchange)
+            null -> refuse(exchange, RefusalReason.MALFORMED)
         }
     }
 
@@ -257,6 +272,10 @@
         const val READINESS_CONNECTIONS = 64
         val RETRY_AFTER = 200.milliseconds
 
+        /** Time limit for the refusal of requests that were sent ahead, at the end of a stop. */
+        val LAST_REFUSALS_TIME = 100.milliseconds
+        val LAST_REFUSALS_INTERVAL = 5.milliseconds
+
         /** Retry delay while this process stops; a retry reaches the rest of the fleet, without this process. */
         val STOP_RETRY_AFTER = 10.milliseconds
         val logger = LoggerFactory.getLogger(CallerService::class.java)
