Forward requests whose query cannot be decoded

They were refused as malformed since they are answered at all. The query matters only to calls about jobs; a request for a service is forwarded as it came.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerService.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerService.kt
@@ -108,15 +108,16 @@
         )
     }
 
-    /** Returns the call that [request] makes, or null if its query cannot be decoded. */
+    /** Returns the call that [request] makes, or null for a call about a job whose query cannot be decoded. */
     private fun callOf(request: HttpServerRequest): CallerCall? {
         val query =
             try {
                 request.params().entries().associate { it.key to it.value }
             } catch (_: IllegalArgumentException) {
-                return null
+                null
             }
-        return deployment.classify(request.method().name(), request.path().orEmpty(), query)
+        val call = deployment.classify(request.method().name(), request.path().orEmpty(), query.orEmpty())
+        return call.takeUnless { query == null && it is CallerCall.JobCall }
     }
 
     private fun routeFor(request: HttpServerRequest): ServingRoute? =
