Do not end a connection as stalled when its answer is written

Cause: while a request runs at a target its connection makes no progress. The first bytes of its answer made it await its caller, so it counted as stalled since the request was read. If they exceeded the budget of the process, it was ended before they were sent, and the request had no answer.

Change: writing to a caller who has read all that was written counts as progress.

Measured: RunningRequestBudgetTest, new case: no answer without the change (1 of 1 runs), 200 with it (1 of 1).

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerGate.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerGate.kt
@@ -164,8 +164,10 @@
         promise: ChannelPromise,
     ) {
         val bytes = (message as? ByteBuf)?.readableBytes()?.toLong() ?: 0L
+        // The caller can't read before anything is written, however long the request has run.
+        val hasReadAll = unreadAnswer.bytes == 0L
         unreadAnswer.written(bytes, now())
-        charge(hasProgressed = false)
+        charge(hasProgressed = hasReadAll)
         val written = promise.unvoid()
         written.addListener {
             unreadAnswer.sent(bytes)
