Keep evidence about repeatedly lost requests over that of one crash

Cause: the oldest evidence without a verdict was forgotten first. A crash that loses many requests pushed out what was known of a request that had crashed targets twice, so that it needed three further crashes.

Change: evidence about requests that were lost in one crash only is forgotten first.

Found by a review.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/quarantine/CrashEvidenceStore.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/quarantine/CrashEvidenceStore.kt
@@ -89,7 +89,17 @@
 
     /** Returns the oldest evidence, if possible one on which no verdict rests and from which none can come. */
     private fun leastUseful(): KnownEvidence =
-        evidence.values.minWith(compareBy({ hasVerdict(it.request) }, { !it.request.isSpent }, { it.request.at }))
+        evidence.values.minWith(
+            compareBy(
+                { hasVerdict(it.request) },
+                { !it.request.isSpent },
+                { isRepeated(it.request) },
+                { it.request.at },
+            ),
+        )
+
+    /** Whether [request] was lost in several crashes, which tells more than the many lost in the same one. */
+    private fun isRepeated(request: LostRequest): Boolean = (requests[request.request]?.crashes ?: 0) > 1
 
     private fun hasVerdict(request: LostRequest): Boolean =
         request.parts.any { it in parts } || requests[request.request]?.verdict != null
--- /dev/null
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/quarantine/SeveralCausesTest.kt
@@ -0,0 +1,47 @@
+package tanagerlane.quarantine
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import tanagerlane.model.HostName
+import tanagerlane.model.Incarnation
+import tanagerlane.model.PromptPart
+import tanagerlane.model.RequestDigest
+import tanagerlane.model.TargetName
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/** Guards against evidence about one cause that hides another one. */
+class SeveralCausesTest :
+    FunSpec({
+        val start = Instant.fromEpochSeconds(1_000_000)
+        val deadly = RequestDigest("deadly")
+
+        fun quarantine() = PromptQuarantine(HostName("a"), Incarnation(1))
+
+        fun PromptQuarantine.lose(
+            target: String,
+            at: Int,
+            sentAt: Int = at - 10,
+            stage: LossStage = LossStage.BEGUN,
+            parts: List<PromptPart> = emptyList(),
+            request: RequestDigest = deadly,
+        ): Unit =
+            lost(
+                TargetName(target),
+                RequestTraits(parts, request),
+                stage,
+                start + sentAt.milliseconds,
+                start + at.milliseconds,
+            )
+
+        test("evidence about a suspected request outlasts the loss of many other requests") {
+            val quarantine = quarantine()
+            quarantine.lose("t1", at = 0)
+            quarantine.lose("t2", at = 57)
+            repeat(300) { quarantine.lose("domain-${it % 50}", at = 100, sentAt = 0, request = RequestDigest("sound$it")) }
+            quarantine.isSuspected(deadly) shouldBe true
+            quarantine.lose("t3", at = 141)
+            quarantine.findQuarantined(deadly, start + 1.seconds)?.crashes shouldBe 3
+        }
+    })
