Do not let requests without parts hide parts of prompts

Cause: since requests without shared parts are kept as evidence, one that its target had begun to answer made requests that waited there innocent, and with them their parts.

Change: only requests with parts are considered for verdicts on parts.

Measured: no verdict after three crashes without the change, a verdict with it.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/quarantine/CrashAnalysis.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/quarantine/CrashAnalysis.kt
@@ -22,7 +22,7 @@
         lost: Collection<LostRequest>,
         wasAnswered: (PromptPart) -> Boolean,
     ): List<QuarantinedPart> {
-        val beforeEvents = lost.filter { it.stage != LossStage.STREAMING }
+        val beforeEvents = lost.filter { it.stage != LossStage.STREAMING && it.parts.isNotEmpty() }
         val unexplained = LinkedHashMap<PromptPart, MutableList<Crash>>()
         for (crash in groupByCrash(beforeEvents).map(::crashOf)) {
             crash.suspects.keys.forEach { unexplained.getOrPut(it) { ArrayList() } += crash }
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/quarantine/SeveralCausesTest.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/quarantine/SeveralCausesTest.kt
@@ -44,4 +44,15 @@
             quarantine.lose("t3", at = 141)
             quarantine.findQuarantined(deadly, start + 1.seconds)?.crashes shouldBe 3
         }
+
+        test("a begun request without shared parts does not hide a part that waited there") {
+            val quarantine = quarantine()
+            val part = PromptPart("part")
+            listOf(0, 400, 800).forEach { at ->
+                val waiting = RequestDigest("waiting$at")
+                quarantine.lose("t$at", at, stage = LossStage.WAITING, parts = listOf(part), request = waiting)
+                quarantine.lose("t$at", at, request = RequestDigest("begun$at"))
+            }
+            quarantine.findQuarantined(listOf(part), start + 1.seconds)?.crashes shouldBe 3
+        }
     })
