Count each crash of a target that is back soon

Cause: what is lost at one target within two seconds counts as lost in one crash. A request that was sent again to a target which had restarted, and crashed it again within that time, needed further crashes for a verdict.

Change: for verdicts on requests, one that was sent later than 200 ms after a crash was lost in the next one.

Measured: no verdict after crashes at 0, 700 and 1400 ms without the change, quarantined with it. Found by a review.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/quarantine/CrashAnalysis.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/quarantine/CrashAnalysis.kt
@@ -56,7 +56,7 @@
             return emptyMap()
         }
         val losses = LinkedHashMap<RequestDigest, MutableList<Loss>>()
-        groupByCrash(lost).forEachIndexed { crash, lostInIt ->
+        groupByCrash(lost, splitsRestarts = true).forEachIndexed { crash, lostInIt ->
             val crashedAt = lostInIt.first().at
             // What was sent to a target that had crashed already is lost as well.
             for ((request, runs) in lostInIt.filter { it.sentAt <= crashedAt }.groupBy { it.request }) {
@@ -111,22 +111,33 @@
         return chains.maxWith(compareBy({ it.crashes }, { it.last.at }))
     }
 
-    /** Returns the requests that were lost in each crash, in the order of their times. */
-    private fun groupByCrash(lost: Collection<LostRequest>): List<List<LostRequest>> =
+    /**
+     * Returns the requests that were lost in each crash, in the order of their times.
+     *
+     * @param splitsRestarts whether a request that was sent to a target some time after its crash was lost in the next one
+     */
+    private fun groupByCrash(
+        lost: Collection<LostRequest>,
+        splitsRestarts: Boolean = false,
+    ): List<List<LostRequest>> =
         lost
             .groupBy { it.target }
             .values
-            .flatMap { splitByTime(it.sortedBy(LostRequest::at)) }
+            .flatMap { splitByTime(it.sortedBy(LostRequest::at), splitsRestarts) }
 
     /** Splits the requests lost at one target, in the order of their times, into those lost in the same crash. */
-    private fun splitByTime(lost: List<LostRequest>): List<List<LostRequest>> {
+    private fun splitByTime(
+        lost: List<LostRequest>,
+        splitsRestarts: Boolean,
+    ): List<List<LostRequest>> {
         val crashes = ArrayList<MutableList<LostRequest>>()
         for (request in lost) {
             val latest = crashes.lastOrNull()
-            if (latest != null && request.at - latest.first().at <= settings.crashWindow) {
-                latest += request
-            } else {
-                crashes += mutableListOf(request)
+            val crashedAt = latest?.first()?.at
+            when {
+                crashedAt == null || request.at - crashedAt > settings.crashWindow -> crashes += mutableListOf(request)
+                splitsRestarts && request.sentAt - crashedAt > settings.minimumDownTime -> crashes += mutableListOf(request)
+                else -> latest += request
             }
         }
         return crashes
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/quarantine/QuarantineSettings.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/quarantine/QuarantineSettings.kt
@@ -20,7 +20,10 @@
  * @property clockTolerance time by which a request may have been sent before the crash that it is said to follow, as the
  *   times of different observers differ by the transit of a report
  * @property crashWindow time within which requests lost at one target count as lost in the same crash
- * @property initialTerm time for which a part is quarantined after [crashesWhileBeginning] crashes
+ * @property minimumDownTime time for which a crashed target is down at least; a request that is sent to it later and lost
+ *   was lost in a further crash
+ * @property initialTerm time for which a part is quarantined after [crashesWhileBeginning] crashes; a request needs more
+ *   crashes, and its first term is longer accordingly
  * @property termFactor factor by which the term grows with each further crash
  * @property maximumTerm upper limit of the term
  * @property evidenceLifetime time for which evidence counts after a crash, or after the term that follows it
@@ -36,6 +39,7 @@
     val minimumSpanOfRequest: Duration = 50.milliseconds,
     val clockTolerance: Duration = 20.milliseconds,
     val crashWindow: Duration = 2.seconds,
+    val minimumDownTime: Duration = 200.milliseconds,
     val initialTerm: Duration = 15.seconds,
     val termFactor: Int = 4,
     val maximumTerm: Duration = 10.minutes,
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/quarantine/SeveralCausesTest.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/quarantine/SeveralCausesTest.kt
@@ -55,4 +55,16 @@
             }
             quarantine.findQuarantined(listOf(part), start + 1.seconds)?.crashes shouldBe 3
         }
+
+        test("crashes of one target that is back soon count once for each time that the request was sent again") {
+            val quarantine = quarantine()
+            listOf(0, 700, 1400).forEach { quarantine.lose("t1", at = it, sentAt = it - 100) }
+            quarantine.findQuarantined(deadly, start + 2.seconds)?.crashes shouldBe 3
+        }
+
+        test("a request that is sent to a target just after its crash was not lost in a further one") {
+            val quarantine = quarantine()
+            listOf(0, 30, 60).forEach { quarantine.lose("t1", at = it, sentAt = it - 10) }
+            quarantine.isSuspected(deadly) shouldBe false
+        }
     })
