--- a/tanagerlane-core/src/test/kotlin/tanagerlane/quarantine/RequestSimulation.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/quarantine/RequestSimulation.kt
@@ -4,7 +4,6 @@
 import tanagerlane.model.Incarnation
 import tanagerlane.model.RequestDigest
 import tanagerlane.model.TargetName
-import java.util.PriorityQueue
 import kotlin.math.ln
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -22,9 +21,8 @@
     seed: Int,
 ) {
     private val random = Random(seed)
-    private val queue = PriorityQueue<Step>(compareBy({ it.at }, { it.number }))
-    private var steps = 0L
-    private var now = START
+    private val time = VirtualTime(START)
+    private val now: Instant get() = time.now
     private val targets =
         List(troubles.services * troubles.targetsPerService) {
             Target(TargetName("t$it"), it / troubles.targetsPerService)
@@ -37,37 +35,17 @@
         entries.forEach { entry -> after(REPORT_PAUSE * random.nextDouble()) { reportLoop(entry) } }
         arrive(requestPause, ::nextSound)
         troubles.deadlyPause?.let { after(DEADLY_TIME) { arrive(it) { Request(DEADLY, DEADLY.text, service = 0) } } }
-        troubles.crashPause?.let { every(it) { crashNeighbours() } }
-        troubles.restartPause?.let { every(it) { restart(entries.random(random)) } }
-        troubles.freezePause?.let { every(it) { entries.random(random).frozenUntil = now + FREEZE_TIME } }
-        val end = START + troubles.length
-        while (true) {
-            val step = queue.poll() ?: break
-            if (step.at > end) {
-                break
-            }
-            now = step.at
-            step.action()
-        }
+        troubles.crashPause?.let { time.every(it) { crashNeighbours() } }
+        troubles.restartPause?.let { time.every(it) { restart(entries.random(random)) } }
+        troubles.freezePause?.let { time.every(it) { entries.random(random).frozenUntil = now + FREEZE_TIME } }
+        time.runUntil(START + troubles.length)
         return outcome
     }
 
     private fun after(
         time: Duration,
         action: () -> Unit,
-    ) {
-        queue += Step(now + time, steps++, action)
-    }
-
-    private fun every(
-        pause: Duration,
-        action: () -> Unit,
-    ) {
-        after(pause) {
-            action()
-            every(pause, action)
-        }
-    }
+    ): Unit = this.time.after(time, action)
 
     /** Runs [action] at [entry], once it is no longer frozen and unless it has been restarted. */
     private fun at(
@@ -102,7 +80,7 @@
         return when {
             number < OFTEN_PERCENT -> Request(RequestDigest("often"), "often", service = 0)
             number < OFTEN_PERCENT + SOMETIMES -> Request(RequestDigest("$number"), "some", number % troubles.services)
-            else -> Request(RequestDigest("once$steps"), "once", random.nextInt(troubles.services))
+            else -> Request(RequestDigest("once${time.steps}"), "once", random.nextInt(troubles.services))
         }
     }
 
@@ -237,12 +215,6 @@
         entry.downUntil = now + RESTART_TIME
     }
 
-    private class Step(
-        val at: Instant,
-        val number: Long,
-        val action: () -> Unit,
-    )
-
     private class Request(
         val digest: RequestDigest,
         val kind: String,
