--- a/tanagerlane-core/src/main/kotlin/tanagerlane/quarantine/CrashAnalysis.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/quarantine/CrashAnalysis.kt
@@ -135,9 +135,18 @@
             val latest = crashes.lastOrNull()
             val crashedAt = latest?.first()?.at
             when {
-                crashedAt == null || request.at - crashedAt > settings.crashWindow -> crashes += mutableListOf(request)
-                splitsRestarts && request.sentAt - crashedAt > settings.minimumDownTime -> crashes += mutableListOf(request)
-                else -> latest += request
+                crashedAt == null || request.at - crashedAt > settings.crashWindow -> {
+                    crashes += mutableListOf(request)
+                }
+
+                splitsRestarts && request.sentAt - crashedAt > settings.minimumDownTime -> {
+                    crashes +=
+                        mutableListOf(request)
+                }
+
+                else -> {
+                    latest += request
+                }
             }
         }
         return crashes
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/quarantine/SeveralCausesTest.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/quarantine/SeveralCausesTest.kt
@@ -39,7 +39,9 @@
             val quarantine = quarantine()
             quarantine.lose("t1", at = 0)
             quarantine.lose("t2", at = 57)
-            repeat(300) { quarantine.lose("domain-${it % 50}", at = 100, sentAt = 0, request = RequestDigest("sound$it")) }
+            repeat(
+                300,
+            ) { quarantine.lose("domain-${it % 50}", at = 100, sentAt = 0, request = RequestDigest("sound$it")) }
             quarantine.isSuspected(deadly) shouldBe true
             quarantine.lose("t3", at = 141)
             quarantine.findQuarantined(deadly, start + 1.seconds)?.crashes shouldBe 3
