Count the wait for a start towards the stop time

A signal during the start waits for it, for 2 s at most, and the stop time began only afterwards, so that all of it moved towards the kill by the supervisor. The wait is passed on, and StopPlan begins at the signal. A stop that throws no longer leaves the main thread waiting.

ProcessLifecycleTest compares the wait that is passed on with the one it measures. Found by a review.

--- a/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/daemon/DaemonRuntime.kt
+++ b/tanagerlane-cli/src/main/kotlin/tanagerlane/cli/daemon/DaemonRuntime.kt
@@ -57,7 +57,7 @@
     start: suspend () -> Result<WireAddress, WireFault>,
     stop: suspend () -> Unit,
 ) {
-    val fault = runBlocking { ProcessLifecycle().run({ faultOf(start) }, stop) }
+    val fault = runBlocking { ProcessLifecycle().run({ faultOf(start) }) { stop() } }
     if (fault != null) {
         throw PrintMessage("tanagerlane: could not start: $fault", statusCode = 1, printError = true)
     }
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
@@ -283,12 +283,12 @@
     /**
      * Stops after the open requests have ended, or at the latest when the stop time runs out.
      *
-     * New requests are accepted during the notice period only, so that callers that keep sending requests on open
-     * connections do not delay the stop.
+     * New requests are accepted during the notice period only; callers may send them without a pause.
+     *
+     * @param late time since the signal to stop; the event loop of a busy process may get to the stop still later
      */
-    public suspend fun drainAndStop() {
-        // Taken here, since it may take long until the event loop of a busy process gets to the stop.
-        val plan = StopPlan(clock.now(), noticePeriod, settings.stopTime, STOP_RESERVE)
+    public suspend fun drainAndStop(late: Duration = Duration.ZERO) {
+        val plan = StopPlan(clock.now() - late, noticePeriod, settings.stopTime, STOP_RESERVE)
         withContext(scope.coroutineContext) {
             stopPlan = plan
             logger.info("stopping open_requests={} late={}", callerService.openRequests, clock.now() - plan.requestedAt)
--- a/tanagerlane-runtime/src/main/kotlin/tanagerlane/runtime/ProcessLifecycle.kt
+++ b/tanagerlane-runtime/src/main/kotlin/tanagerlane/runtime/ProcessLifecycle.kt
@@ -6,6 +6,7 @@
 import kotlin.concurrent.thread
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
 
 /**
  * Runs a process from its start until it is told to stop.
@@ -23,20 +24,25 @@
      * Starts the process, and returns once it was told to stop and [stop] has returned.
      *
      * @param start starts the process and returns why it could not, or null
+     * @param stop stops the process; its parameter is the time for which the signal has waited for the start
      * @return what [start] has returned; at once if the process was not started
      */
     public suspend fun <F : Any> run(
         start: suspend () -> F?,
-        stop: suspend () -> Unit,
+        stop: suspend (waited: Duration) -> Unit,
     ): F? {
         val started = CompletableDeferred<Boolean>()
         val stopped = CompletableDeferred<Unit>()
         addShutdownHook {
-            runBlocking {
-                val isStarted = withTimeoutOrNull(startLimit) { started.await() } ?: true
-                if (isStarted) stop()
+            val signalledAt = TimeSource.Monotonic.markNow()
+            try {
+                runBlocking {
+                    val isStarted = withTimeoutOrNull(startLimit) { started.await() } ?: true
+                    if (isStarted) stop(signalledAt.elapsedNow())
+                }
+            } finally {
+                stopped.complete(Unit)
             }
-            stopped.complete(Unit)
         }
         try {
             val fault = start()
--- a/tanagerlane-runtime/src/test/kotlin/tanagerlane/runtime/ProcessLifecycleTest.kt
+++ b/tanagerlane-runtime/src/test/kotlin/tanagerlane/runtime/ProcessLifecycleTest.kt
@@ -1,6 +1,7 @@
 package tanagerlane.runtime
 
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.comparables.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
@@ -11,6 +12,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
 
 /** Guards against a signal to stop that ends a process, with what it has taken, before its start has returned. */
 class ProcessLifecycleTest :
@@ -54,6 +56,8 @@
         ).forEach { case ->
             test(case.name) {
                 val events = CopyOnWriteArrayList<String>()
+                val unreported = CopyOnWriteArrayList<Duration>()
+                var signalledAt = TimeSource.Monotonic.markNow()
                 var hook: () -> Unit = { events += "process ended at once" }
                 val lifecycle = ProcessLifecycle(case.startLimit) { hook = it }
                 coroutineScope {
@@ -65,16 +69,28 @@
                                     events += "started ${case.canStart}"
                                     if (case.canStart) null else "port in use"
                                 },
-                                stop = { events += "stopped" },
+                                stop = { waited ->
+                                    unreported += signalledAt.elapsedNow() - waited
+                                    events += "stopped"
+                                },
                             )
                         }
                     delay(case.signalAt)
                     events += "signal"
-                    withContext(Dispatchers.IO) { hook() }
+                    withContext(Dispatchers.IO) {
+                        signalledAt = TimeSource.Monotonic.markNow()
+                        hook()
+                    }
                     events += "ended"
                     run.await() shouldBe if (case.canStart) null else "port in use"
                 }
                 events shouldBe case.expected
+                unreported.forEach { it shouldBeLessThan TOLERANCE }
             }
         }
-    })
+    }) {
+    private companion object {
+        /** Difference between two measurements of the same wait. */
+        val TOLERANCE = 80.milliseconds
+    }
+}
