Read the version of a target's software and the attempt that a resumed stream names

The lines 'targets changed', 'attempt ended' and the new 'stream resumed by caller' name it. Nothing decides by it yet. FakeTarget and FakeDeployment know versions.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerExchange.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerExchange.kt
@@ -48,6 +48,9 @@
     /** Number of the last stream event that the caller has received, or null. */
     val resumeAfter: Long? = request.getHeader(names.resumeAfter)?.toLongOrNull()
 
+    /** Id of the client attempt that brought the first event of the stream that the caller resumes, or null. */
+    val resumedAttempt: String? = request.getHeader(names.resumedAttempt)
+
     /** Maximum time for which a read of results may wait for new ones; at most 30 s. */
     val wait: Duration =
         (request.getHeader(names.wait)?.toLongOrNull() ?: 0).coerceIn(0, MAXIMUM_WAIT_MILLISECONDS).milliseconds
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/HeaderNames.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/HeaderNames.kt
@@ -10,6 +10,7 @@
  * @property expectedTarget incarnation of the target for which a request is intended
  * @property notRun present in a target's answer if the request has not run
  * @property resumeAfter number of the last stream event that the receiver has
+ * @property resumedAttempt id of the client attempt that brought the first event of the stream which a request resumes
  * @property wait maximum time for which a read of results may wait, in milliseconds
  * @property promptParts parts of the prompt of a request
  */
@@ -21,6 +22,7 @@
     val expectedTarget: String,
     val notRun: String,
     val resumeAfter: String,
+    val resumedAttempt: String,
     val wait: String,
     val promptParts: String,
 )
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineHandler.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineHandler.kt
@@ -27,6 +27,10 @@
 ) {
     /** Serves [request] until it is answered, refused or aborted. */
     suspend fun serve(request: OnlineRequest) {
+        request.lastEvent?.let {
+            val resumed = request.exchange.resumedAttempt
+            logger.info("stream resumed by caller request={} resumes={} last_event={}", request.id, resumed, it)
+        }
         while (true) {
             when (val step = attempt(request) ?: return) {
                 NextStep.TryElsewhere -> continue
@@ -93,9 +97,10 @@
         if (end == AttemptEnd.NOT_RUN) request.notRunAttempts++ else request.possibleRuns++
         metrics.attempts(end).increment()
         logger.info(
-            "attempt ended request={} target={} end={} handed={} refusals={} last_event={} remaining={}",
+            "attempt ended request={} target={} version={} end={} handed={} refusals={} last_event={} remaining={}",
             request.id,
             target.name,
+            target.version,
             end,
             request.possibleRuns,
             request.notRunAttempts,
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetDirectory.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetDirectory.kt
@@ -50,7 +50,7 @@
         val added =
             listed
                 .filter { it !in before }
-                .joinToString(",") { "${it.name}${if (it.leaving) "(leaving)" else ""}" }
+                .joinToString(",") { "${it.name}@${it.version}${if (it.leaving) "(leaving)" else ""}" }
         val removed = (targets.listed.keys - listed.map { it.name }.toSet()).joinToString(",")
         logger.info("targets changed version={} changed=[{}] gone=[{}] listed={}", view.at, added, removed, listed.size)
     }
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeDeployment.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeDeployment.kt
@@ -19,6 +19,7 @@
 import tanagerlane.model.RequestId
 import tanagerlane.model.Revision
 import tanagerlane.model.ServiceName
+import tanagerlane.model.SoftwareVersion
 import tanagerlane.model.TargetName
 import tanagerlane.model.WorkspaceName
 import tanagerlane.places.DirectTarget
@@ -75,16 +76,30 @@
     /** Writes the configuration and registers the targets. */
     suspend fun prepare() {
         store.put(CONFIGURATION, Payload.of("1"), null)
-        targets.forEach { store.put(ObjectKey("targets/${it.name}"), Payload.of("${it.port}"), null) }
+        targets.forEach { register(it.name, it.port, version = it.version) }
     }
 
-    /** Registers a target that listens on [port], of [serviceName] or else of the service of all routes. */
+    /**
+     * Registers a target that listens on [port], of [serviceName] or else of the service of all routes.
+     *
+     * Replaces an earlier registration under the same name.
+     */
     suspend fun register(
         name: String,
         port: Int,
         serviceName: String = "",
+        version: String = "",
+        leaving: Boolean = false,
     ) {
-        store.put(ObjectKey("targets/$name"), Payload.of("$port $serviceName".trim()), null)
+        val key = ObjectKey("targets/$name")
+        val before = store.get(key).getOrElse { null }?.version
+        store.put(key, Payload.of("$port,$serviceName,$version,$leaving"), before)
+    }
+
+    /** Removes the registration of the target [name]. */
+    suspend fun deregister(name: String) {
+        val key = ObjectKey("targets/$name")
+        store.get(key).getOrElse { null }?.let { store.delete(key, it.version) }
     }
 
     /** Puts a configuration in force that has the routes which [change] makes of those at the start. */
@@ -181,6 +196,7 @@
                     expectedTarget = "Expect-Instance",
                     notRun = "Not-Run",
                     resumeAfter = "Last-Event-Id",
+                    resumedAttempt = "Resumes",
                     wait = "Wait-Ms",
                     promptParts = "Prompt-Prefix",
                 ),
@@ -198,10 +214,17 @@
         name: String,
         registration: String,
     ): DirectTarget {
-        val ownService = registration.substringAfter(' ', "").ifEmpty { null }?.let(::ServiceName) ?: service
-        val address = "127.0.0.1:${registration.substringBefore(' ')}"
-        val domain = FailureDomain(domains[name] ?: "a")
-        return DirectTarget(TargetName(name), ownService, address, domain, places = 4, coldTime = null)
+        val fields = registration.split(',')
+        return DirectTarget(
+            name = TargetName(name),
+            service = fields.getOrNull(1)?.ifEmpty { null }?.let(::ServiceName) ?: service,
+            address = "127.0.0.1:${fields[0]}",
+            failureDomain = FailureDomain(domains[name] ?: "a"),
+            places = 4,
+            leaving = fields.getOrNull(3).toBoolean(),
+            coldTime = null,
+            version = SoftwareVersion(fields.getOrNull(2).orEmpty()),
+        )
     }
 
     /** Returns one item for each line of [body]. */
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeTarget.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeTarget.kt
@@ -17,6 +17,7 @@
  *
  * @property events number of events of each stream
  * @property pauseMilliseconds time between two events, in milliseconds
+ * @property version version of its software, which its registration names and each of its events ends with
  * @property eventFill number of filler characters added to each event
  * @property filler the filler character
  * @property restartMilliseconds time from a crash until the target listens again, in milliseconds
@@ -31,6 +32,7 @@
     private val restartMilliseconds: Long = 500,
     private val listenerMilliseconds: Long = 0,
     private val filler: String = "x",
+    val version: String = "",
 ) {
     /** Requests received, each as its id and the event after which its stream resumes. */
     val requests = CopyOnWriteArrayList<String>()
@@ -235,7 +237,8 @@
             }
 
             else -> {
-                response.write("id: $number\ndata: event $number${filler.repeat(eventFill)}\n\n")
+                val suffix = if (version.isEmpty()) "" else " $version"
+                response.write("id: $number\ndata: event $number${filler.repeat(eventFill)}$suffix\n\n")
                 vertx.setTimer(pauseMilliseconds) { send(response, number + 1) }
             }
         }
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/RepeatedRefusalServingTest.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/RepeatedRefusalServingTest.kt
@@ -127,6 +127,7 @@
                     expectedTarget = "Expect-Instance",
                     notRun = "Not-Run",
                     resumeAfter = "Last-Event-Id",
+                    resumedAttempt = "Resumes",
                     wait = "Wait-Ms",
                     promptParts = "Prompt-Prefix",
                 )
