Let streams go on only at the software version that began them

Cause: nothing knew the version of a target. A stream that broke off went on at any target of the service, within an answer or when its caller resumed it, and the numbers of the events fitted.

Change: the package tanagerlane.resumption remembers for each attempt which service, version and target wrote its first event. Within an answer the entry looks for a place at this version only. While a service may have had several versions, the entry tells two runners and two other entries, chosen by the id of the attempt, before it forwards the first event; an entry at which a caller resumes a stream asks four of each. If none knows, the stream goes on only if one version was in service for as long as any open stream, by what this process or one of those asked has seen. Everything else is refused as not run, at once. A process that finds others registered when it starts does not take what it sees for what there was. Streams that wait for a place at a version that is full wait apart from the order of all others, which they would hold up.

The dispatch of messages between processes moves from DirectDaemon to PeerMessages, and relisted take-ups are counted in tanagerlane.streams.resumed.

--- /dev/null
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/resumption/OriginDirectory.kt
@@ -0,0 +1,162 @@
+package tanagerlane.resumption
+
+import tanagerlane.message.OriginQuery
+import tanagerlane.message.OriginReply
+import tanagerlane.message.StreamOrigin
+import tanagerlane.model.HostName
+import tanagerlane.model.RequestId
+import tanagerlane.model.ServiceName
+import tanagerlane.places.DirectTarget
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/**
+ * What one process knows about the software versions that began the streams which callers may resume.
+ *
+ * A stream may go on only at the version that wrote its first event, as the texts of two versions do not fit together.
+ * While a service may have had several versions, each stream is reported to a few other processes before its first event
+ * is forwarded. What has been forgotten leads to a refusal. Not thread-safe.
+ *
+ * @param own host of this process
+ * @param maximumStreams number of streams that are remembered
+ */
+public class OriginDirectory(
+    private val own: HostName,
+    maximumStreams: Int = MAXIMUM_STREAMS,
+) {
+    private val origins = StreamOrigins(maximumStreams)
+    private val mixedServices = HashSet<ServiceName>()
+
+    /** Software versions that were in service. */
+    public val versions: VersionHistory = VersionHistory()
+
+    /** Longest time for which a caller may take to receive a stream, over all of its attempts. */
+    public var lifetime: Duration = MINIMUM_LIFETIME
+        private set
+
+    /** Number of streams that are remembered. */
+    public val size: Int get() = origins.size
+
+    /** Takes the longest [timeout] of the routes that are in force into account, for streams that are open already too. */
+    public fun allowTimeout(timeout: Duration) {
+        lifetime = maxOf(lifetime, timeout * ATTEMPT_TIMES)
+    }
+
+    /**
+     * Records the [targets] that are in service at [now].
+     *
+     * @return streams of this process that have to be reported now, as their service is not known to have one version only
+     */
+    public fun observe(
+        targets: Collection<DirectTarget>,
+        now: Instant,
+    ): List<StreamOrigin> {
+        versions.observe(targets, now)
+        versions.forgetBefore(now - lifetime)
+        origins.expire(lifetime, now)
+        val mixed = targets.mapTo(HashSet()) { it.service }.filterTo(HashSet()) { isMixed(it, now) }
+        val newlyMixed = mixed - mixedServices
+        mixedServices.clear()
+        mixedServices += mixed
+        return newlyMixed.flatMap { origins.ownOf(it, now) }
+    }
+
+    /**
+     * Records that [target] has written the first event of the stream of [attempt].
+     *
+     * @return the origin if it has to be reported to other processes before the event is forwarded, or null
+     */
+    public fun began(
+        attempt: RequestId,
+        target: DirectTarget,
+        now: Instant,
+    ): StreamOrigin? {
+        val origin = StreamOrigin(attempt, target.service, target.version, target.name)
+        origins.record(origin, now, isOwn = true)
+        return origin.takeIf { isMixed(target.service, now) }
+    }
+
+    /** Remembers [reported], which another process has sent. */
+    public fun received(
+        reported: List<StreamOrigin>,
+        now: Instant,
+    ): Unit = reported.forEach { origins.record(it, now, isOwn = false) }
+
+    /**
+     * Returns what this process knows about [query].
+     *
+     * @param isCurrent whether the targets in service are known as of lately
+     */
+    public fun reply(
+        query: OriginQuery,
+        isCurrent: Boolean,
+        now: Instant,
+    ): OriginReply =
+        OriginReply(
+            host = own,
+            query = query.query,
+            origin = query.attempt?.let { find(it, now) },
+            soleVersion = if (isCurrent) versions.soleVersion(query.service, lifetime, now) else null,
+        )
+
+    /** Returns where the stream of [attempt] began if this process knows, or null. */
+    public fun find(
+        attempt: RequestId,
+        now: Instant,
+    ): StreamOrigin? = origins.find(attempt, now)?.takeUnless(::isDoubtful)
+
+    /**
+     * Decides whether a stream that a caller resumes may go on.
+     *
+     * @param attempt id of the client attempt that brought its first event, or null if the caller does not name it
+     * @param service service at which it would go on
+     * @param replies what other processes know
+     * @param isCurrent whether the targets in service are known as of lately
+     */
+    public fun resolve(
+        attempt: RequestId?,
+        service: ServiceName,
+        replies: Collection<OriginReply>,
+        isCurrent: Boolean,
+        now: Instant,
+    ): Resumption {
+        attempt?.let { find(it, now) }?.let { return Resumption.At(it, OriginSource.OWN) }
+        replies.firstNotNullOfOrNull { it.origin?.takeUnless(::isDoubtful) }?.let { origin ->
+            origins.record(origin, now, isOwn = false)
+            return Resumption.At(origin, OriginSource.PEER)
+        }
+        if (replies.any { it.origin != null }) {
+            return Resumption.Unknown
+        }
+        val own = if (isCurrent) versions.soleVersion(service, lifetime, now) else null
+        val told = replies.mapNotNullTo(HashSet()) { it.soleVersion }
+        val seen = versions.versions(service, lifetime, now)
+        val version = (told + listOfNotNull(own)).singleOrNull()?.takeIf { (seen - it).isEmpty() }
+        if (version == null) {
+            return Resumption.Unknown
+        }
+        val origin = StreamOrigin(attempt ?: UNNAMED, service, version)
+        attempt?.let { origins.record(origin, now, isOwn = true) }
+        return Resumption.At(origin, if (own != null) OriginSource.SOLE_VERSION else OriginSource.PEER_SOLE_VERSION)
+    }
+
+    /** Whether the target of [origin] has started again with another version, so that either may have begun the stream. */
+    public fun isDoubtful(origin: StreamOrigin): Boolean =
+        origin.target?.let(versions::versionOf)?.let { it != origin.version } ?: false
+
+    private fun isMixed(
+        service: ServiceName,
+        now: Instant,
+    ): Boolean = versions.soleVersion(service, lifetime, now) == null
+
+    private companion object {
+        /** A caller may use up the timeout of its route in each of its attempts, of which the first brought no event. */
+        const val ATTEMPT_TIMES = 2
+        val UNNAMED = RequestId("")
+        val MINIMUM_LIFETIME = 10.seconds
+
+        /** Streams that are remembered; each takes about 300 bytes. */
+        const val MAXIMUM_STREAMS = 20_000
+    }
+}
--- /dev/null
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/resumption/VersionHistory.kt
@@ -0,0 +1,62 @@
+package tanagerlane.resumption
+
+import tanagerlane.model.ServiceName
+import tanagerlane.model.SoftwareVersion
+import tanagerlane.model.TargetName
+import tanagerlane.places.DirectTarget
+import kotlin.time.Duration
+import kotlin.time.Instant
+
+/** Which software versions the targets of each service had, and until when, as this process has seen. Not thread-safe. */
+public class VersionHistory {
+    private val lastSeen = HashMap<ServiceName, HashMap<SoftwareVersion, Instant>>()
+    private var current: Map<TargetName, SoftwareVersion> = emptyMap()
+    private var mixedServices: Set<ServiceName> = emptySet()
+    private var completeSince: Instant? = null
+
+    /** Records the [targets] that are in service at [now], including those that are leaving. */
+    public fun observe(
+        targets: Collection<DirectTarget>,
+        now: Instant,
+    ) {
+        completeSince = completeSince ?: now
+        current = targets.associate { it.name to it.version }
+        val ofServices = targets.groupBy({ it.service }, { it.version })
+        mixedServices = ofServices.filterValues { it.toSet().size > 1 }.keys
+        targets.forEach { lastSeen.getOrPut(it.service) { HashMap() }[it.version] = now }
+    }
+
+    /** Records that the deployment is new, so that no targets were in service before the first ones observed. */
+    public fun assumeNothingBefore() {
+        completeSince = Instant.DISTANT_PAST
+    }
+
+    /** Forgets versions that were not in service after [time]. */
+    public fun forgetBefore(time: Instant) {
+        lastSeen.values.forEach { versions -> versions.values.removeIf { it < time } }
+        lastSeen.values.removeIf { it.isEmpty() }
+    }
+
+    /** Returns the versions of [service] that were seen within [period] before [now]. */
+    public fun versions(
+        service: ServiceName,
+        period: Duration,
+        now: Instant,
+    ): Set<SoftwareVersion> = lastSeen[service].orEmpty().filterValues { now - it <= period }.keys
+
+    /** Returns the only version that targets of [service] had within [period] before [now], or null if that is not known. */
+    public fun soleVersion(
+        service: ServiceName,
+        period: Duration,
+        now: Instant,
+    ): SoftwareVersion? {
+        val isObserved = completeSince?.let { it <= now - period } ?: false
+        return if (isObserved) versions(service, period, now).singleOrNull() else null
+    }
+
+    /** Returns whether targets of several versions of [service] are in service now. */
+    public fun hasSeveral(service: ServiceName): Boolean = service in mixedServices
+
+    /** Returns the version of [target], or null if it is not in service. */
+    public fun versionOf(target: TargetName): SoftwareVersion? = current[target]
+}
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/AnswerForwarder.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/AnswerForwarder.kt
@@ -26,6 +26,7 @@
     private val loadBalancer: LoadBalancer,
     private val names: HeaderNames,
     private val promptGuard: PromptGuard,
+    private val resumption: StreamResumption,
     private val metrics: DirectMetrics,
     private val now: () -> Instant,
     private val processorDelay: () -> Duration,
@@ -182,7 +183,7 @@
                 if (resumption?.accepts(event) == false) {
                     return recordBroken(request, target, "event ${event.id} does not follow ${request.lastEvent}")
                 }
-                begin(request, answer)
+                begin(request, target, answer)
                 request.lastEvent = event.id ?: request.lastEvent
                 request.exchange.write(Buffer.buffer(event.bytes.toByteArray()))
             }
@@ -203,7 +204,7 @@
         if (resumption?.hasContinued == false) {
             return recordBroken(request, target, "resumed stream has no events")
         }
-        begin(request, answer)
+        begin(request, target, answer)
         request.exchange.end()
         loadBalancer.succeeded(target.name)
         promptGuard.completed(request)
@@ -221,9 +222,11 @@
     /** Sends the head of the answer unless one was sent; a stream resumed at another target keeps the first head. */
     private fun begin(
         request: OnlineRequest,
+        target: DirectTarget,
         answer: TargetAnswer,
     ) {
         if (!request.isAnswerStarted) {
+            resumption.began(request, target)
             request.exchange.begin(answer.status, answer.headers.endToEndHeaders())
         }
     }
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
@@ -24,19 +24,9 @@
 import tanagerlane.membership.Member
 import tanagerlane.membership.StartupGracePeriod
 import tanagerlane.membership.StopPlan
-import tanagerlane.message.CrashReport
-import tanagerlane.message.ForwardedReport
 import tanagerlane.message.Hello
 import tanagerlane.message.HostRole
 import tanagerlane.message.JobReport
-import tanagerlane.message.PlaceReport
-import tanagerlane.message.RelayedCall
-import tanagerlane.message.RelayedReply
-import tanagerlane.message.ResultsQuery
-import tanagerlane.message.ResultsReply
-import tanagerlane.message.ViewRequest
-import tanagerlane.message.ViewUpdate
-import tanagerlane.message.WireMessage
 import tanagerlane.model.HostName
 import tanagerlane.model.Incarnation
 import tanagerlane.model.PromptPart
@@ -81,7 +71,9 @@
     private val loops = RestartingLoops(scope)
     private val endpoint = WireEndpoint(hello(), scope, WIRE_LIMITS, clock::now)
     private val fleet: Fleet =
-        Fleet(vertx, hello(), scope, endpoint, clock::now, ::receive) { runner.requestSchedulingPass() }
+        Fleet(vertx, hello(), scope, endpoint, clock::now, { from, message -> peerMessages.receive(from, message) }) {
+            runner.requestSchedulingPass()
+        }
     private val pace =
         FleetPace(settings, startedAt, { fleet.members }, { configuration?.services?.get(it) }, clock::now)
     private val loadBalancer = pace.loadBalancer
@@ -97,7 +89,8 @@
     private val storage = JobStorage(storeRelay, settings.maximumValueBytes / VALUE_OVERHEAD)
     private val jobIndex = JobIndex(storage)
     private val resultsClient = ResultsClient(fleet::send)
-    private val membership = Membership(deployment.store, fleet, clock::now)
+    private val resumption = StreamResumption(fleet, metrics, { targetSynchronizer.age() }, clock::now)
+    private val membership = Membership(deployment.store, fleet, clock::now, resumption::assumeNewDeployment)
     private val decodedConfigurations = DecodedObjects(deployment.configuration)
     private val homeRegions = HomeRegions(settings.domainRegions.associate { it.failureDomain to it.region })
     private val evacuations =
@@ -105,8 +98,9 @@
             val domains = homeRegions.regions.keys + settings.host.failureDomain
             EvacuationDirectory(deployment.evacuations, bound, domains, clock::now)
         }
-    private val targetRules = TargetRules(homeRegions, evacuations)
-    private val targets = TargetDirectory(deployment.targets, loadBalancer, targetClient, evacuations, clock::now)
+    private val targetRules = TargetRules(homeRegions, evacuations, resumption::mayContinue, resumption::isBound)
+    private val targets =
+        TargetDirectory(deployment.targets, loadBalancer, targetClient, evacuations, resumption::observe, clock::now)
     private var configuration: ServingConfiguration? = null
     private var isLeaving = false
     private var stopPlan: StopPlan? = null
@@ -127,7 +121,8 @@
 
     private val configurationSynchronizer =
         synchronizer(deployment.configuration.kind, ViewTimes.CONFIGURATION, ::applyConfiguration)
-    private val targetSynchronizer = synchronizer(deployment.targets.kind, ViewTimes.TARGETS, targets::update)
+    private val targetSynchronizer: ViewSynchronizer =
+        synchronizer(deployment.targets.kind, ViewTimes.TARGETS, targets::update)
     private val jobSynchronizer = synchronizer(JobStorage.JOBS_KIND, ViewTimes.JOBS, ::applyJobs)
     private val memberSynchronizer = synchronizer(Membership.KIND, ViewTimes.MEMBERS, membership::update)
     private val removalSynchronizer = synchronizer(deployment.removals.kind, ViewTimes.REMOVALS, hostDrain::update)
@@ -186,7 +181,7 @@
     private val resultQueries =
         ResultQueries(scope, fleet, storage, runner::assigned, { isLeaving }, runner::requestSchedulingPass)
     private val answerForwarder =
-        AnswerForwarder(loadBalancer, deployment.headers, promptGuard, metrics, clock::now) {
+        AnswerForwarder(loadBalancer, deployment.headers, promptGuard, resumption, metrics, clock::now) {
             processorDelay.at(clock.now())
         }
     private val onlineHandler =
@@ -197,6 +192,7 @@
             headers,
             answerForwarder,
             promptGuard,
+            resumption,
             metrics,
             clock::now,
         )
@@ -236,6 +232,18 @@
                 ),
             now = clock::now,
         )
+    private val peerMessages =
+        PeerMessages(
+            placeReports = placeReports,
+            promptGuard = promptGuard,
+            resumption = resumption,
+            jobIndex = jobIndex,
+            synchronizers = synchronizers,
+            resultQueries = resultQueries,
+            resultsClient = resultsClient,
+            storeRelay = storeRelay,
+            onPlacesReported = { if (isRunner) runner.onPlacesReported() },
+        )
     private val status =
         DaemonStatus(
             settings = settings,
@@ -361,32 +369,6 @@
         }
     }
 
-    /** Dispatches a message from another process to the component that handles it. */
-    private fun receive(
-        from: HostName,
-        message: WireMessage,
-    ) {
-        when (message) {
-            is PlaceReport -> onReport(placeReports.acceptAndForward(message))
-            is ForwardedReport -> onReport(message.report.host != fleet.ownHost && placeReports.accept(message.report))
-            is CrashReport -> promptGuard.received(message)
-            is JobReport -> jobIndex.updateBacklogs(message.backlog)
-            is ViewUpdate -> synchronizers[message.kind]?.onUpdate(from, message)
-            is ViewRequest -> synchronizers[message.kind]?.onSnapshotRequest(from)
-            is ResultsQuery -> resultQueries.answer(from, message)
-            is ResultsReply -> resultsClient.onReply(message)
-            is RelayedCall -> storeRelay.onCall(from, message)
-            is RelayedReply -> storeRelay.onReply(message)
-            else -> logger.warn("unexpected message from={} type={}", from, message::class.simpleName)
-        }
-    }
-
-    private fun onReport(isNew: Boolean) {
-        if (isNew && isRunner) {
-            runner.onPlacesReported()
-        }
-    }
-
     private fun applyConfiguration(view: ObjectView) {
         val decoded = decodedConfigurations.decode(view)
         val newest = decoded.maxByOrNull { it.revision.number } ?: return
@@ -400,6 +382,7 @@
             configuration?.revision,
         )
         configuration = newest
+        resumption.configure(newest)
         rates.configure(
             newest.workspaces
                 .mapNotNull { (name, workspace) ->
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectMetrics.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectMetrics.kt
@@ -110,6 +110,10 @@
     /** Returns the counter of attempts that ended with [end]. */
     fun attempts(end: AttemptEnd): Counter = attempts.getValue(end)
 
+    /** Returns the counter of streams that callers resumed, by how the version that began them was found. */
+    fun resumed(outcome: String): Counter =
+        Counter.builder("tanagerlane.streams.resumed").tag("outcome", outcome).register(registry)
+
     /** Returns the counter of calls of the object API of the kind [call]. */
     fun storeCalls(call: StoreCall): Counter = storeCalls.getValue(call)
 
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/Fleet.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/Fleet.kt
@@ -11,6 +11,9 @@
 import tanagerlane.message.Hello
 import tanagerlane.message.HostRole
 import tanagerlane.message.JobReport
+import tanagerlane.message.OriginQuery
+import tanagerlane.message.OriginReply
+import tanagerlane.message.OriginReport
 import tanagerlane.message.PlaceReport
 import tanagerlane.message.ViewUpdate
 import tanagerlane.message.WireMessage
@@ -156,6 +159,9 @@
                 is JobReport -> message.host
                 is CrashReport -> message.host
                 is ViewUpdate -> message.host
+                is OriginReport -> message.host
+                is OriginQuery -> message.host
+                is OriginReply -> message.host
                 else -> null
             }
         if (sender == null) {
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/Membership.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/Membership.kt
@@ -21,11 +21,16 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
-/** Registers this process in the object API and removes the registrations of processes that are lost. */
+/**
+ * Registers this process in the object API and removes the registrations of processes that are lost.
+ *
+ * @param onNewDeployment called if no process was registered when this one started
+ */
 internal class Membership(
     private val store: ObjectStore,
     private val fleet: Fleet,
     private val now: () -> Instant,
+    private val onNewDeployment: () -> Unit = {},
 ) {
     private var ownMember: Member? = null
     private var view = ObjectView(KIND)
@@ -36,6 +41,9 @@
 
     /** Applies [updated], the registrations that are stored in the object API. */
     fun update(updated: ObjectView) {
+        if (!view.isComplete && updated.isComplete && updated.objects.isEmpty()) {
+            onNewDeployment()
+        }
         view = updated
         registered = decodedMembers.decode(view)
         fleet.updateMembers(registered)
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineHandler.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineHandler.kt
@@ -10,6 +10,7 @@
 import tanagerlane.quarantine.LossStage
 import tanagerlane.serving.AttemptEnd
 import tanagerlane.serving.NextStep
+import tanagerlane.serving.RouteKind
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
@@ -22,14 +23,14 @@
     private val headers: RequestHeaders,
     private val forwarder: AnswerForwarder,
     private val promptGuard: PromptGuard,
+    private val resumption: StreamResumption,
     private val metrics: DirectMetrics,
     private val now: () -> Instant,
 ) {
     /** Serves [request] until it is answered, refused or aborted. */
     suspend fun serve(request: OnlineRequest) {
-        request.lastEvent?.let {
-            val resumed = request.exchange.resumedAttempt
-            logger.info("stream resumed by caller request={} resumes={} last_event={}", request.id, resumed, it)
+        if (request.lastEvent != null && request.route.kind == RouteKind.STREAM && !resumption.resume(request)) {
+            return refuseOrAbort(request, CallerRefusal(RefusalReason.NOT_RESUMABLE, RunState.NOT_RUN))
         }
         while (true) {
             when (val step = attempt(request) ?: return) {
@@ -86,7 +87,8 @@
         reason: RefusalReason,
     ): NextStep {
         val runState = if (request.possibleRuns == 0) RunState.NOT_RUN else RunState.UNKNOWN
-        return NextStep.GiveUp(reason, runState)
+        val isVersionGone = reason == RefusalReason.NO_TARGET && request.origin != null
+        return NextStep.GiveUp(if (isVersionGone) RefusalReason.NOT_RESUMABLE else reason, runState)
     }
 
     private fun recordEnd(
@@ -186,7 +188,8 @@
             request.isAnswerStarted,
             request.waitingRefusal?.reason,
         )
-        val forecast = request.waitingRefusal?.retryAfter ?: RETRY_AFTER
+        val isFinal = refusal.reason == RefusalReason.NOT_RESUMABLE
+        val forecast = if (isFinal) request.deadline - now() else request.waitingRefusal?.retryAfter ?: RETRY_AFTER
         val retryAfter = promptGuard.quarantinedUntil(request)?.let { it - now() } ?: forecast
         if (request.isAnswerStarted) request.exchange.abort() else request.exchange.refuse(refusal, retryAfter)
     }
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineRequest.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineRequest.kt
@@ -2,6 +2,7 @@
 
 import io.vertx.core.buffer.Buffer
 import tanagerlane.admission.WaitingDecision
+import tanagerlane.message.StreamOrigin
 import tanagerlane.model.PromptPart
 import tanagerlane.model.RequestDigest
 import tanagerlane.model.ServiceName
@@ -21,12 +22,18 @@
     val exchange: CallerExchange,
     val id: String,
     val route: ServingRoute,
-    val service: ServiceName,
+    service: ServiceName,
     val workspace: ServingWorkspace?,
     val body: Buffer,
     val deadline: Instant,
     val sharedParts: List<PromptPart>,
 ) {
+    /** Service at whose targets the request is attempted. */
+    var service: ServiceName = service
+
+    /** Where the stream began of which the caller has a part, or null if it has none. */
+    var origin: StreamOrigin? = null
+
     /** Targets at which the request was attempted. */
     val triedTargets = HashSet<TargetName>()
 
@@ -64,6 +71,14 @@
         ).digest().also { digest = it }
 
     /** Returns the request for a target to which the next attempt may be sent by [rules]. */
-    fun placement(rules: TargetRules): PlacementRequest =
-        PlacementRequest(service, triedTargets, mayUse = rules.targetsFor(route, workspace))
+    fun placement(rules: TargetRules): PlacementRequest {
+        val isPermitted = rules.targetsFor(route, workspace)
+        val mayUse =
+            if (origin == null) {
+                isPermitted
+            } else {
+                { isPermitted(it) && rules.mayContinue(this, it) }
+            }
+        return PlacementRequest(service, triedTargets, mayUse)
+    }
 }
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/PlaceQueue.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/PlaceQueue.kt
@@ -35,6 +35,7 @@
 ) {
     private val waiters = HashMap<Long, Waiter>()
     private val weights = WorkspaceWeights()
+    private val versionWaiters = VersionWaiters(::placeFor, ::occupy, ::giveBack)
     private var requests = 0L
     private var isTicking = false
 
@@ -48,13 +49,18 @@
         if (request.triedTargets.isEmpty()) {
             queue.arrived(wanted, now())
         }
-        if (queue.mayPass(wanted, { free(request.service) }, now())) {
+        val isBound = rules.isBound(request)
+        if (isBound || queue.mayPass(wanted, { free(request.service) }, now())) {
             when (val placement = placeFor(request)) {
                 is Placement.At -> return Ok(occupy(wanted, placement.target))
                 Placement.NoTarget -> return Err(RefusalReason.NO_TARGET)
                 Placement.Full -> Unit
             }
         }
+        if (isBound) {
+            startTicking()
+            return versionWaiters.await(request, wanted)
+        }
         return waitFor(Waiter(request, wanted, now()))
     }
 
@@ -98,7 +104,13 @@
         if (waiter.isWaiting) {
             (queue.decide(waiter.wanted, now()) as? WaitingDecision.Refused)?.let(::refuse)
         }
-        if (waiter.isWaiting && !isTicking) {
+        if (waiter.isWaiting) {
+            startTicking()
+        }
+    }
+
+    private fun startTicking() {
+        if (!isTicking) {
             isTicking = true
             scope.launch { tick() }
         }
@@ -106,11 +118,12 @@
 
     private suspend fun tick() {
         try {
-            while (queue.size > 0) {
+            do {
                 delay(TICK)
+                versionWaiters.sendAll(now())
                 queue.expired(now()).forEach(::refuse)
                 queue.services.forEach(::sendNext)
-            }
+            } while (queue.size > 0 || !versionWaiters.isEmpty)
         } finally {
             isTicking = false
         }
@@ -118,6 +131,7 @@
 
     /** Sends waiting requests of [service] to targets as long as there are places for them. */
     private fun sendNext(service: ServiceName) {
+        versionWaiters.sendNext(service, now())
         while (true) {
             val next = queue.next(service, { free(service) }, now()) ?: return
             val waiter = waiters.getValue(next.number)
@@ -169,6 +183,10 @@
         return HeldPlace(target, wanted)
     }
 
+    private fun giveBack(place: HeldPlace) {
+        place.admitted?.let { leave(place.target, it, isRejected = false, hasAnswered = false) }
+    }
+
     private fun placeFor(request: OnlineRequest): Placement = finder.find(request.placement(rules), now())
 
     private fun free(service: ServiceName): Int = finder.free(service, now())
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/PlaceReports.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/PlaceReports.kt
@@ -68,6 +68,14 @@
         return isNew
     }
 
+    /**
+     * Processes a report that another process has forwarded.
+     *
+     * @return false if it is this process's own or not newer than the last one of the same process; it is ignored then
+     */
+    fun acceptForwarded(forwarded: ForwardedReport): Boolean =
+        forwarded.report.host != fleet.ownHost && accept(forwarded.report)
+
     /**
      * Processes a report, whether received directly or forwarded.
      *
--- /dev/null
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/StreamResumption.kt
@@ -0,0 +1,183 @@
+package tanagerlane.direct
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.withTimeoutOrNull
+import org.slf4j.LoggerFactory
+import tanagerlane.message.OriginQuery
+import tanagerlane.message.OriginReply
+import tanagerlane.message.OriginReport
+import tanagerlane.message.StreamOrigin
+import tanagerlane.model.HostName
+import tanagerlane.model.RequestId
+import tanagerlane.places.DirectTarget
+import tanagerlane.resumption.OriginDirectory
+import tanagerlane.resumption.OriginKeepers
+import tanagerlane.resumption.Resumption
+import tanagerlane.serving.RouteKind
+import tanagerlane.serving.ServingConfiguration
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/**
+ * Lets streams go on only at the software version that began them; see [OriginDirectory].
+ *
+ * @param targetsAge returns the time since the targets in service were last confirmed, or null before that
+ */
+internal class StreamResumption(
+    private val fleet: Fleet,
+    private val metrics: DirectMetrics,
+    private val targetsAge: () -> Duration?,
+    private val now: () -> Instant,
+) {
+    private val directory = OriginDirectory(fleet.ownHost)
+    private val open = HashMap<Long, OpenQuery>()
+
+    /** Starts anywhere, so that a late reply to an earlier instance of this process answers no query of this one. */
+    private var lastQuery = Random.nextLong()
+
+    private val isCurrent: Boolean get() = targetsAge()?.let { it <= MAXIMUM_TARGETS_AGE } ?: false
+
+    /** Records that no process was registered when this one started, so that no stream began before. */
+    fun assumeNewDeployment(): Unit = directory.versions.assumeNothingBefore()
+
+    /** Takes the timeouts of the routes of [configuration] into account. */
+    fun configure(configuration: ServingConfiguration) {
+        configuration.routes
+            .filter { it.kind == RouteKind.STREAM }
+            .maxOfOrNull { it.timeout }
+            ?.let(directory::allowTimeout)
+    }
+
+    /** Records the [targets] that are in service. */
+    fun observe(targets: Collection<DirectTarget>): Unit = report(directory.observe(targets, now()))
+
+    /** Records that [target] has written the first event of the answer to [request], before the event is forwarded. */
+    fun began(
+        request: OnlineRequest,
+        target: DirectTarget,
+    ) {
+        if (request.origin == null) {
+            val attempt = RequestId(request.id)
+            request.origin = StreamOrigin(attempt, target.service, target.version, target.name)
+            directory.began(attempt, target, now())?.let { report(listOf(it)) }
+        }
+    }
+
+    /** Returns whether [request], of which some events were forwarded, may go on at [target]. */
+    fun mayContinue(
+        request: OnlineRequest,
+        target: DirectTarget,
+    ): Boolean {
+        val origin = request.origin ?: return true
+        return target.service == origin.service && target.version == origin.version && !directory.isDoubtful(origin)
+    }
+
+    /** Whether targets of several versions are in service, of which [request] must go on at one. */
+    fun isBound(request: OnlineRequest): Boolean =
+        request.origin != null && directory.versions.hasSeveral(request.service)
+
+    /** Finds out at which service and version [request] goes on; returns false if it must not. */
+    suspend fun resume(request: OnlineRequest): Boolean {
+        val attempt = request.exchange.resumedAttempt?.let(::RequestId)
+        val service = request.route.serviceFor(attempt ?: RequestId(request.id)) ?: request.service
+        val known = attempt?.let { directory.find(it, now()) }
+        val replies = if (known == null) ask(OriginQuery(fleet.ownHost, ++lastQuery, attempt, service)) else emptyList()
+        val resumption = directory.resolve(attempt, service, replies, isCurrent, now())
+        val resumed = resumption as? Resumption.At
+        val outcome = resumed?.source?.name?.lowercase() ?: "unknown"
+        metrics.resumed(outcome).increment()
+        logger.info(
+            "stream resumed by caller request={} resumes={} last_event={} outcome={} version={} begun={} age={} replies={}",
+            request.id,
+            attempt,
+            request.lastEvent,
+            outcome,
+            resumed?.origin?.version,
+            resumed?.origin?.target,
+            resumed?.origin?.age,
+            replies.size,
+        )
+        val origin = resumed?.origin ?: return false
+        if (request.route.services.none { it.service == origin.service }) {
+            return false
+        }
+        request.service = origin.service
+        request.origin = origin
+        return true
+    }
+
+    /** Remembers streams that another process has forwarded. */
+    fun received(report: OriginReport): Unit = directory.received(report.origins, now())
+
+    /** Answers [query] of another process. */
+    fun received(query: OriginQuery): Unit = fleet.send(listOf(query.host), directory.reply(query, isCurrent, now()))
+
+    /** Passes [reply] to the query that it answers; a late or repeated reply is ignored. */
+    fun received(reply: OriginReply) {
+        open[reply.query]?.received(reply)
+    }
+
+    private fun report(origins: List<StreamOrigin>) {
+        val byKeeper = HashMap<HostName, ArrayList<StreamOrigin>>()
+        for (origin in origins) {
+            OriginKeepers.told(origin.attempt, fleet.members, fleet.ownHost).forEach {
+                byKeeper.getOrPut(it) { ArrayList() } += origin
+            }
+        }
+        for ((keeper, kept) in byKeeper) {
+            kept.chunked(ORIGINS_PER_REPORT).forEach { fleet.send(listOf(keeper), OriginReport(fleet.ownHost, it)) }
+        }
+    }
+
+    /** Asks the keepers of the stream; returns the replies up to the first one that names its origin. */
+    private suspend fun ask(query: OriginQuery): Collection<OriginReply> {
+        val asked = OriginKeepers.asked(query.attempt, fleet.members, fleet.ownHost)
+        if (asked.isEmpty()) {
+            return emptyList()
+        }
+        val expected = asked.filterTo(HashSet()) { it in fleet.reachable }.ifEmpty { asked.toSet() }
+        val pending = OpenQuery(expected)
+        open[query.query] = pending
+        try {
+            fleet.send(asked, query)
+            withTimeoutOrNull(REPEAT_AFTER) { pending.isDone.await() }
+                ?: withTimeoutOrNull(REPLY_TIMEOUT - REPEAT_AFTER) {
+                    fleet.send(asked - pending.replies.keys, query)
+                    pending.isDone.await()
+                }
+        } finally {
+            open.remove(query.query)
+        }
+        return pending.replies.values
+    }
+
+    private class OpenQuery(
+        private val expected: Set<HostName>,
+    ) {
+        val replies = HashMap<HostName, OriginReply>()
+        val isDone = CompletableDeferred<Unit>()
+
+        fun received(reply: OriginReply) {
+            replies[reply.host] = reply
+            if (reply.origin != null || replies.keys.containsAll(expected)) {
+                isDone.complete(Unit)
+            }
+        }
+    }
+
+    private companion object {
+        /** Age up to which the targets in service tell that there is one version only. */
+        val MAXIMUM_TARGETS_AGE = 3.seconds
+
+        /** Time after which a query is sent again to those that have not replied. */
+        val REPEAT_AFTER = 30.milliseconds
+        val REPLY_TIMEOUT = 100.milliseconds
+
+        /** Streams that fit into a datagram. */
+        const val ORIGINS_PER_REPORT = 10
+        val logger = LoggerFactory.getLogger(StreamResumption::class.java)
+    }
+}
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetDirectory.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetDirectory.kt
@@ -11,12 +11,14 @@
  * The targets that the object API lists, of which those that may be sent requests are passed on.
  *
  * @param evacuations evacuations of failure domains, or null if there are none in this deployment
+ * @param onUsable called with the targets in service, also those that are leaving or evacuated
  */
 internal class TargetDirectory(
     source: ViewSource<DirectTarget>,
     private val loadBalancer: LoadBalancer,
     private val client: TargetClient,
     private val evacuations: EvacuationDirectory?,
+    private val onUsable: (List<DirectTarget>) -> Unit,
     private val now: () -> Instant,
 ) {
     private val decodedObjects = DecodedObjects(source)
@@ -38,6 +40,7 @@
     /** Stops the use of targets that are evacuated, or whose registration lapsed too long ago. */
     fun expire() {
         val usable = targets.usable(now())
+        onUsable(usable)
         loadBalancer.configure(if (evacuations == null) usable else evacuations.permitted(usable), now())
         client.keepOnly(usable.mapTo(HashSet()) { it.address })
     }
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetRules.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetRules.kt
@@ -10,10 +10,14 @@
  * Rules on which targets a request may be sent to.
  *
  * @param evacuations evacuations of failure domains, or null if there are none in this deployment
+ * @property mayContinue whether a stream of which the caller has a part may go on at a target
+ * @property isBound whether a request may be sent to some of the software versions in service only
  */
 internal class TargetRules(
     private val homeRegions: HomeRegions,
     private val evacuations: EvacuationDirectory?,
+    val mayContinue: (OnlineRequest, DirectTarget) -> Boolean = { _, _ -> true },
+    val isBound: (OnlineRequest) -> Boolean = { false },
 ) {
     /** Whether it is known which targets may be sent requests. */
     val areKnown: Boolean get() = evacuations?.maySend ?: true
