Start a preempted batch item anew where its engine has another version

Change: ChatTranscript takes the system_fingerprint that a run tells up to its first token for the version of the engine's software. If a resumed run tells another one than the tokens so far, or only one of the two tells any, BatchRun drops these tokens and starts anew. Engines without fingerprints are resumed as before. The version is read from the answer, not from a setting of the sidecar: a preempted item lives only in the memory of one sidecar process, whose settings don't change. Entries need no change: they go on only at the incarnation that holds the attempt. No counter goes with the log line, as the scheduler has no registry.

--- a/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/engine/BatchRun.kt
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/engine/BatchRun.kt
@@ -13,15 +13,20 @@
 import tanagerlane.model.RunState
 import tanagerlane.sidecar.AnswerSink
 
-/** Runs one batch item, which may be stopped and resumed any number of times; its answer is sent at the end. */
+/**
+ * Runs one batch item, which may be stopped and resumed any number of times; its answer is sent at the end.
+ *
+ * An item that finds another version of the engine's software when it is resumed starts anew.
+ */
 internal class BatchRun(
     private val client: EngineClient,
     private val offer: Offer,
     private val body: ChatBody,
     private val queueHandle: QueueHandle,
 ) {
-    private val transcript = ChatTranscript(body.maximumTokens)
+    private var transcript = ChatTranscript(body.maximumTokens)
     private var hasBegun = false
+    private var hasStartedAnew = false
 
     suspend fun run(sink: AnswerSink) {
         while (true) {
@@ -42,7 +47,11 @@
 
     /** Runs until the answer ends or the queue preempts the run; returns whether the last call of the sink was made. */
     private suspend fun runOnce(sink: AnswerSink): Boolean {
-        val outcome = if (transcript.isComplete) Ok(Unit) else streamUntilPreempted()
+        var outcome = if (transcript.isComplete) Ok(Unit) else streamUntilPreempted()
+        if (outcome?.getError() == EngineFailure.OtherVersion) {
+            startAnew()
+            outcome = streamUntilPreempted()
+        }
         if (outcome == null && !transcript.isComplete) {
             return false
         }
@@ -50,9 +59,16 @@
         return true
     }
 
+    private suspend fun startAnew() {
+        hasStartedAnew = true
+        transcript = ChatTranscript(body.maximumTokens)
+        client.cancel(offer.attempt.request)
+    }
+
     /** Returns the result of the stream, or null if it was preempted. */
     private suspend fun streamUntilPreempted(): Result<Unit, EngineFailure>? =
         coroutineScope {
+            transcript.beginRun()
             val stream = async { client.stream(offer.attempt.request, body.resumedAt(transcript.tokens), ::onEvent) }
             val result =
                 select {
@@ -86,7 +102,7 @@
                 sink.fail(unreachableRunState(), RefusalReason.NO_TARGET)
             }
 
-            EngineFailure.Broken -> {
+            EngineFailure.Broken, EngineFailure.OtherVersion -> {
                 sink.fail(RunState.UNKNOWN, RefusalReason.TARGET_FAILED)
             }
 
@@ -98,7 +114,8 @@
         }
     }
 
-    private fun unreachableRunState() = if (transcript.tokens == 0) RunState.NOT_RUN else RunState.UNKNOWN
+    private fun unreachableRunState() =
+        if (transcript.tokens == 0 && !hasStartedAnew) RunState.NOT_RUN else RunState.UNKNOWN
 
     private companion object {
         const val OK = 200
--- a/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/engine/EngineClient.kt
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/engine/EngineClient.kt
@@ -40,7 +40,11 @@
 ) {
     private val client = vertx.createHttpClient(PoolOptions().setHttp1MaxSize(MAXIMUM_CONNECTIONS))
 
-    /** Sends [body], which requests a stream, and passes the data of each event to [onEvent]. */
+    /**
+     * Sends [body], which requests a stream, and passes the data of each event to [onEvent].
+     *
+     * An [OtherVersionException] from [onEvent] ends the run as [EngineFailure.OtherVersion].
+     */
     suspend fun stream(
         id: RequestId,
         body: Payload,
@@ -52,6 +56,9 @@
             throw exception
         } catch (_: ConnectException) {
             Err(EngineFailure.Unreachable)
+        } catch (exception: OtherVersionException) {
+            logger.info("run not continued request={} cause={}", id, exception.message)
+            Err(EngineFailure.OtherVersion)
         } catch (exception: Exception) {
             logger.info("engine call failed request={} cause={}", id, exception.toString())
             Err(EngineFailure.Broken)
--- a/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/engine/EngineFailure.kt
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/engine/EngineFailure.kt
@@ -13,6 +13,9 @@
         val body: Payload,
     ) : EngineFailure
 
+    /** The engine's software has another version than that which began the answer. */
+    data object OtherVersion : EngineFailure
+
     /** The stream was interrupted, or its answer exceeded a limit. */
     data object Broken : EngineFailure
 }
