Continue a batch item only at the software version that began its text

A run of an item resumed after the last event at any target, and events saved on a runner's disk were continued at any target, though texts of two versions do not fit together and targets do not check it.

Change: ItemProgress remembers the version of the target that sent the first event, as known when the run was started, and SavedProgress holds it. BatchPlacement uses only targets of that version, and waits while they are only full, also if the item is late: a new run takes longer than the rest. If no usable target has the version, the item starts anew wherever there is a place; its events are removed only when that run starts, so that a version that returns first is continued. The same holds if each target of the version has answered with an error or broken off since the last event; otherwise a single failing target would use up all attempts. Saved events without a version are not used. The line 'item starts anew' names both versions, and tanagerlane.items.continued counts outcomes (continued, version_gone). The events of a lost text no longer count against the time estimate of the run that replaces it.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/places/LoadBalancer.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/places/LoadBalancer.kt
@@ -156,6 +156,12 @@
             )
         }
 
+    /** Returns whether a target of [service] that is not leaving satisfies [mayUse], with or without a free place. */
+    public fun hasTarget(
+        service: ServiceName,
+        mayUse: (DirectTarget) -> Boolean,
+    ): Boolean = synchronized(lock) { selectable[service].orEmpty().any(mayUse) }
+
     /**
      * Selects a target of [service] with a free place for a batch item, or returns null if there is none.
      *
@@ -179,10 +185,8 @@
             if (free.sumOf { it.free.toLong() } <= waiting.of(service, now)) {
                 return null
             }
-            free
-                .sortedWith(compareByDescending<FreePlaces> { it.free }.thenBy { it.target.failureDomain != domain })
-                .firstOrNull()
-                ?.target
+            val bestFirst = compareByDescending<FreePlaces> { it.free }.thenBy { it.target.failureDomain != domain }
+            free.minWithOrNull(bestFirst)?.target
         }
 
     /**
@@ -210,11 +214,10 @@
         }
         val batchOfOthers = others.batchOf(name, now)
         for (runner in RendezvousHash.ranked(name.text, batchOfOthers.keys + own) { it.text }) {
-            val held = if (runner == own) ownLoad.batch else batchOfOthers.getValue(runner)
             if (runner == own) {
-                return toPreempt.coerceIn(0, held)
+                return toPreempt.coerceIn(0, ownLoad.batch)
             }
-            toPreempt -= held
+            toPreempt -= batchOfOthers.getValue(runner)
         }
         return 0
     }
@@ -252,8 +255,7 @@
         now: Instant,
     ): TargetLoad {
         val reported = others.loadOf(target, now)
-        val own = ownLoads[target] ?: return reported
-        return TargetLoad(reported.online + own.online, reported.batch + own.batch)
+        return ownLoads[target]?.let { TargetLoad(reported.online + it.online, reported.batch + it.batch) } ?: reported
     }
 
     /** Returns those of [candidates] that may be sent a request now, with what [pacing] decides about them. */
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/BatchPlacement.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/BatchPlacement.kt
@@ -1,7 +1,6 @@
 package tanagerlane.direct
 
 import tanagerlane.model.RegionName
-import tanagerlane.model.RequestId
 import tanagerlane.model.ServiceName
 import tanagerlane.places.DirectTarget
 import tanagerlane.places.LoadBalancer
@@ -20,30 +19,53 @@
     private val headroom: Int,
 ) {
     private val full = HashSet<Place>()
+    private val isContinuable = HashMap<Place, Boolean>()
 
-    /** Returns a target for the item [id] of [route] and [workspace], or null if none has a place for it. */
+    /**
+     * Returns a target for the item of [progress], of [route] and [workspace], or null if none has a place for it.
+     *
+     * While targets that can continue the text are only full, the item waits for them, even if it is late: a run from
+     * the beginning takes longer than the rest of the text.
+     */
     fun targetFor(
-        id: RequestId,
+        progress: ItemProgress,
         route: ServingRoute,
         workspace: ServingWorkspace?,
         isPressing: Boolean,
         now: Instant,
     ): DirectTarget? {
-        val service = route.serviceFor(id) ?: return null
+        val service = route.serviceFor(progress.item.id) ?: return null
         val keepFree = if (isPressing) 0 else headroom
-        val place = Place(service, route.homeRegions, workspace?.homeRegions.orEmpty(), keepFree)
+        val mayUse = rules.targetsFor(route, workspace)
+        val anyVersion = Place(service, route.homeRegions, workspace?.homeRegions.orEmpty(), keepFree)
+        val place = progress.continuationRule?.let { continuable(anyVersion.copy(rule = it), mayUse) } ?: anyVersion
         if (place in full) {
             return null
         }
-        return loadBalancer.placeBatch(service, now, rules.targetsFor(route, workspace), keepFree)
+        return loadBalancer.placeBatch(service, now, { mayUse(it) && place.permits(it) }, keepFree)
             ?: null.also { full += place }
     }
 
+    /** Returns [place], or null if there is no target that can continue the text. */
+    private fun continuable(
+        place: Place,
+        mayUse: (DirectTarget) -> Boolean,
+    ): Place? {
+        val isContinuable =
+            isContinuable.getOrPut(place) {
+                loadBalancer.hasTarget(place.service) { mayUse(it) && place.permits(it) }
+            }
+        return place.takeIf { isContinuable }
+    }
+
     /** A service within the home regions of a route and a workspace, and the places that stay free. */
     private data class Place(
         val service: ServiceName,
         val routeHomes: Set<RegionName>,
         val workspaceHomes: Set<RegionName>,
         val keepFree: Int,
-    )
+        val rule: ContinuationRule? = null,
+    ) {
+        fun permits(target: DirectTarget): Boolean = rule?.permits(target) ?: true
+    }
 }
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectMetrics.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectMetrics.kt
@@ -37,6 +37,10 @@
                 .register(registry)
         }
 
+    private val continuations =
+        ItemContinuation.entries.associateWith {
+            Counter.builder("tanagerlane.items.continued").tag("outcome", it.name.lowercase()).register(registry)
+        }
     private val storeCalls =
         StoreCall.entries.associateWith {
             Counter.builder("tanagerlane.store.calls").tag("call", it.name.lowercase()).register(registry)
@@ -110,6 +114,9 @@
     /** Returns the counter of attempts that ended with [end]. */
     fun attempts(end: AttemptEnd): Counter = attempts.getValue(end)
 
+    /** Returns the counter of runs of batch items with earlier events that go on as [continuation] tells. */
+    fun continuations(continuation: ItemContinuation): Counter = continuations.getValue(continuation)
+
     /** Returns the counter of calls of the object API of the kind [call]. */
     fun storeCalls(call: StoreCall): Counter = storeCalls.getValue(call)
 
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ItemProgress.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ItemProgress.kt
@@ -1,16 +1,20 @@
 package tanagerlane.direct
 
+import org.slf4j.LoggerFactory
 import tanagerlane.joblog.ItemAttempts
 import tanagerlane.joblog.RawItem
 import tanagerlane.joblog.SavedEvent
+import tanagerlane.joblog.SavedProgress
 import tanagerlane.joblog.TextSize
+import tanagerlane.model.SoftwareVersion
+import tanagerlane.model.TargetName
 import tanagerlane.streams.AnswerBudget
 import tanagerlane.streams.AnswerLimits
 import tanagerlane.streams.StreamEvent
 import kotlin.time.Instant
 
 /**
- * Events received for one item, accumulated over all its runs.
+ * Events received for one item, accumulated over all its runs at targets of one software version.
  *
  * @param budget budget for all unfinished answers; if this one is ended on its account, all events are removed
  */
@@ -21,6 +25,17 @@
     private val received = ArrayList<SavedEvent>()
     private var receivedBytes = 0L
     private var share: AnswerBudget.Share? = null
+    private val failedAt = HashSet<TargetName>()
+    private var runVersion: SoftwareVersion? = null
+    private var hasAdvanced = false
+
+    /** Software version of the target that sent the first event, or null if there is no event. */
+    var version: SoftwareVersion? = null
+        private set
+
+    /** Targets that can continue after the last event, or null if the next run starts at the beginning anyway. */
+    val continuationRule: ContinuationRule?
+        get() = if (lastEvent == null) null else version?.let { ContinuationRule(it, failedAt.toSet()) }
 
     /** Number of the last numbered event received, or null if there is none. */
     val lastEvent: Long? get() = received.lastOrNull { it.number != null }?.number
@@ -44,7 +59,9 @@
      */
     val savableEventCount: Int get() = if (lastEvent == null) 0 else received.size - 1
 
+    /** Runs that ended with an error. */
     var attempts = ItemAttempts()
+        private set
 
     /** Time before which the item is not started again. */
     var notBefore: Instant = Instant.DISTANT_PAST
@@ -58,9 +75,42 @@
     /** Number of events received. */
     val eventCount: Int get() = received.size
 
-    /** Called before each run. */
-    fun runStarts() {
+    /**
+     * Prepares for a run at a target of [next]: removes all events if they are of another version.
+     *
+     * Returns how the run goes on, or null if there is no event after which it could.
+     */
+    fun continueAt(next: SoftwareVersion): ItemContinuation? {
+        val isContinuable = lastEvent != null
+        if (version == next) {
+            return if (isContinuable) ItemContinuation.CONTINUED else null
+        }
+        if (isContinuable) {
+            logger.info("item starts anew item={} version={} next={} events={}", item.id, version, next, eventCount)
+        }
+        clear()
+        return if (isContinuable) ItemContinuation.VERSION_GONE else null
+    }
+
+    /** Called before each run at a target of [version]. */
+    fun runStarts(version: SoftwareVersion) {
         rejectedBytes = null
+        hasAdvanced = false
+        runVersion = version
+        continueAt(version)
+    }
+
+    /** Called after each run; the text is not continued at a [target] whose run failed without a further event. */
+    fun runEnded(
+        target: TargetName,
+        ending: ItemEnding,
+    ) {
+        if (ending == ItemEnding.FAILED) {
+            attempts = attempts.copy(failures = attempts.failures + 1)
+        }
+        if (!hasAdvanced && (ending == ItemEnding.FAILED || ending == ItemEnding.BROKEN)) {
+            failedAt += target
+        }
     }
 
     /**
@@ -77,7 +127,12 @@
             reject(receivedBytes)
             return false
         }
+        if (received.isEmpty()) {
+            version = runVersion
+        }
         received += SavedEvent(event.id, event.data)
+        hasAdvanced = true
+        failedAt.clear()
         hold(size)
         return rejectedBytes == null
     }
@@ -85,6 +140,8 @@
     /** Removes all events; without a number, no run can be resumed after them. */
     fun clear() {
         received.clear()
+        version = null
+        failedAt.clear()
         receivedBytes = 0
         savedEventCount = 0
         generation++
@@ -104,11 +161,12 @@
         }
     }
 
-    /** Adds the [events] that an earlier process saved, unless events were already received. */
-    fun restore(events: List<SavedEvent>) {
-        if (received.isEmpty()) {
-            received += events
-            hold(events.sumOf { sizeOf(it.data) })
+    /** Adds the events that an earlier process saved with their version, unless events were already received. */
+    fun restore(saved: SavedProgress) {
+        if (received.isEmpty() && saved.version != null) {
+            version = saved.version
+            received += saved.events
+            hold(saved.events.sumOf { sizeOf(it.data) })
         }
     }
 
@@ -140,5 +198,6 @@
     companion object {
         /** Maximum size of the events of one item in bytes; the same limit as for a buffered answer. */
         const val MAXIMUM_BYTES = AnswerLimits.MAXIMUM_ANSWER_BYTES.toLong()
+        private val logger = LoggerFactory.getLogger(ItemProgress::class.java)
     }
 }
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ItemRunner.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ItemRunner.kt
@@ -43,7 +43,7 @@
         target: DirectTarget,
     ): ItemEnding {
         val item = progress.item
-        progress.runStarts()
+        progress.runStarts(target.version)
         val request =
             TargetRequest(
                 id = item.id.text,
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobRunner.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobRunner.kt
@@ -68,7 +68,6 @@
     private val loadingJobs = HashSet<JobId>()
     private val passRequests = Channel<Unit>(Channel.CONFLATED)
     private var timeEstimate = ItemTimeEstimate()
-
     private var isDeleting = false
 
     /** Jobs that this process runs, including finished ones. */
@@ -258,9 +257,8 @@
                 .filter { !it.log.isFinished && !it.mayBeStale && it.unlisted.size < MAXIMUM_UNLISTED_RESULTS }
                 .flatMap { job ->
                     job
-                        .startable(
-                            now(),
-                        ).filterNot { isQuarantined(it.item) }
+                        .startable(now())
+                        .filterNot { isQuarantined(it.item) }
                         .map { StartableItem(job, it, urgencyOf(job, it)) }
                 }.sortedBy { it.urgency }
         val placement = BatchPlacement(loadBalancer, rules, headroom)
@@ -268,7 +266,7 @@
             val route = routeFor(item.job, item.progress) ?: continue
             val workspace = configuration()?.workspaces?.get(item.job.log.record.workspace)
             val isPressing = item.urgency.isPressing(wallClock(), PRESSING_MARGIN)
-            val target = placement.targetFor(item.progress.item.id, route, workspace, isPressing, now()) ?: continue
+            val target = placement.targetFor(item.progress, route, workspace, isPressing, now()) ?: continue
             start(item.job, item.progress, target)
         }
     }
@@ -294,6 +292,7 @@
         val id = progress.item.id
         loadBalancer.started(target.name, RequestClass.BATCH)
         onLoadChanged()
+        progress.continueAt(target.version)?.let { metrics.continuations(it).increment() }
         val eventsBefore = progress.eventCount
         val startedAt = now()
         val coroutine =
@@ -325,6 +324,7 @@
         target: DirectTarget,
         ending: ItemEnding,
     ) {
+        progress.runEnded(target.name, ending)
         when (ending) {
             ItemEnding.WHOLE -> {
                 loadBalancer.succeeded(target.name)
@@ -358,7 +358,6 @@
         job: AssignedJob,
         progress: ItemProgress,
     ) {
-        progress.attempts = progress.attempts.copy(failures = progress.attempts.failures + 1)
         progress.notBefore = now() + FAILURE_DELAY
         if (progress.attempts.isExhausted(job.log.record.attempts)) {
             finish(job, progress, ItemEnd.ABANDONED, "attempts exhausted")
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ProgressSaver.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ProgressSaver.kt
@@ -35,7 +35,7 @@
     suspend fun restore(job: AssignedJob) {
         val recovered = withTimeoutOrNull(READ_TIMEOUT) { recoveredProgress.await() } ?: return
         for (item in job.log.pending) {
-            job.progress.getValue(item.id).restore(recovered.take(job.log.record.job, item.id))
+            recovered.take(job.log.record.job, item.id)?.let { job.progress.getValue(item.id).restore(it) }
         }
     }
 
@@ -62,10 +62,11 @@
             .map { progress ->
                 val before = if (isComplete) 0 else progress.savedEventCount
                 val record = job.log.record
+                val events = progress.savableFrom(before)
                 UnsavedEvents(
                     progress,
                     progress.generation,
-                    SavedProgress(record.job, progress.item.id, record.keepUntil, before, progress.savableFrom(before)),
+                    SavedProgress(record.job, progress.item.id, record.keepUntil, before, events, progress.version),
                 )
             }
 
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/JoinedItemVersionsTest.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/JoinedItemVersionsTest.kt
@@ -55,6 +55,17 @@
             Case("starts anew at its target of another version", VersionScene.REPLACEMENT, isContinued = false) {
                 register(VersionScene.REPLACEMENT)
             },
+            Case("starts anew as the only target of its version breaks off at once", "s1", isContinued = false) {
+                register("s1")
+            },
+            Case(
+                "starts anew before the only target of its version has used up its attempts",
+                "s1",
+                isContinued = false,
+            ) {
+                target("t1").status = 500
+                register("s1")
+            },
             Case("goes on at its version as its target has another one", "t2", isContinued = true) {
                 register("t2", VersionScene.REPLACEMENT)
             },
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/ProgressFileTest.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/ProgressFileTest.kt
@@ -8,6 +8,7 @@
 import tanagerlane.model.Incarnation
 import tanagerlane.model.JobId
 import tanagerlane.model.RequestId
+import tanagerlane.model.SoftwareVersion
 import java.nio.file.Path
 import kotlin.io.path.listDirectoryEntries
 import kotlin.io.path.readBytes
@@ -21,25 +22,31 @@
         val start = Instant.fromEpochSeconds(1_000_000)
         val job = JobId("night")
         val item = RequestId("i1")
+        val version = SoftwareVersion("v1")
 
         fun events(numbers: IntRange) = numbers.map { SavedEvent(it.toLong(), "event $it") }
 
         fun progress(
             before: Int,
             numbers: IntRange,
-        ) = listOf(SavedProgress(job, item, start + 60.seconds, before, events(numbers)))
+        ) = listOf(SavedProgress(job, item, start + 60.seconds, before, events(numbers), version))
 
         fun folder(): Path = tempdir().toPath().resolve("data")
 
         fun reopened(
             folder: Path,
             incarnation: Long = 2,
-        ): List<SavedEvent> = ProgressFile(folder, Incarnation(incarnation)).open(start).take(job, item)
+        ): List<SavedEvent> {
+            val recovered =
+                ProgressFile(folder, Incarnation(incarnation)).open(start).take(job, item) ?: return emptyList()
+            recovered.version shouldBe version
+            return recovered.events
+        }
 
         test("a restarted process recovers what was saved and leaves a single file") {
             val folder = folder()
             val file = ProgressFile(folder, Incarnation(1))
-            file.open(start).take(job, item) shouldBe emptyList()
+            file.open(start).take(job, item) shouldBe null
             file.append(progress(0, 1..3)) shouldBe true
             file.append(progress(3, 4..6)) shouldBe true
             reopened(folder) shouldBe events(1..6)
@@ -86,7 +93,7 @@
         test("a folder that is not writable saves nothing and causes no failure") {
             val occupied = tempdir().toPath().resolve("data").apply { writeBytes(ByteArray(1)) }
             val file = ProgressFile(occupied, Incarnation(1))
-            file.open(start).take(job, item) shouldBe emptyList()
+            file.open(start).take(job, item) shouldBe null
             file.append(progress(0, 1..3)) shouldBe false
         }
     })
