Show that streams are joined from targets of two versions when processes are lost

No test has targets of two software versions in service while entries, the batch runner or targets are lost.

Change: JoinedVersionsProcessTest runs three entries and a batch runner in processes of their own on one object API, and 20 callers that take their streams up again with Last-Event-Id and Resumes. In six cases entries, the runner or targets are killed, removed or crash. Checked are the versions and numbers of the events of each caller, that requests answered with 429 or 503 reached no target and that no answer without a stream takes longer than 1 s, and, where an entry or a target is lost alone, that at least a half of the streams concerned go on to their end. FakeDeployment starts processes in other failure domains; StartedDaemon has a file of its own.

--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/DirectStopTest.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/DirectStopTest.kt
@@ -25,7 +25,7 @@
         suspend fun startEntry(
             targets: List<FakeTarget>,
             stopTime: Duration,
-        ): FakeDeployment.StartedDaemon {
+        ): StartedDaemon {
             targets.forEach { it.start() }
             val deployment = FakeDeployment(vertx, targets).also { it.prepare() }
             val started = deployment.start("entry-1", "entry", stopTime = stopTime)
@@ -38,7 +38,7 @@
         }
 
         /** Opens connections before the stop; from the stop on, sends one request on each, every [SEND_INTERVAL]. */
-        suspend fun requestsWhileStopping(started: FakeDeployment.StartedDaemon): Map<String, Int?> =
+        suspend fun requestsWhileStopping(started: StartedDaemon): Map<String, Int?> =
             coroutineScope {
                 val connections =
                     List(KEPT_CONNECTIONS) { KeepAliveConnection(started.port).apply { send("/ready", "kept") } }
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/EndsScene.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/EndsScene.kt
@@ -46,7 +46,7 @@
     private val id = if (isHeld) "held" else "asked"
     private val body = if (row.kind == Kind.SUBMIT) "a\nb" else "body"
     private val text = row.kind.request(id, body)
-    private lateinit var entries: List<FakeDeployment.StartedDaemon>
+    private lateinit var entries: List<StartedDaemon>
 
     /** Whether the entries have stopped; their processes would end now. */
     @Volatile
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeDeployment.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeDeployment.kt
@@ -128,6 +128,7 @@
      * @param readyPort port for readiness checks, or null if they come to the port for callers
      * @param waiting whether requests that find no place wait
      * @param address loopback address at which the process listens
+     * @param failureDomain failure domain of the process
      */
     suspend fun start(
         name: String,
@@ -141,6 +142,7 @@
         furtherSettings: String = "",
         waiting: Boolean = false,
         address: String = "127.0.0.1",
+        failureDomain: String = "a",
     ): StartedDaemon {
         val settings =
             SettingsReader
@@ -157,7 +159,7 @@
                     waiting = $waiting
                     [host]
                     name = "$name"
-                    failureDomain = "a"
+                    failureDomain = "$failureDomain"
                     address = "$address"
                     wirePort = ${ports[1]}
                     operatorPort = ${ports[2]}
@@ -296,10 +298,4 @@
     private companion object {
         val CONFIGURATION = ObjectKey("config/main")
     }
-
-    /** A process and its port for callers. */
-    data class StartedDaemon(
-        val daemon: DirectDaemon,
-        val port: Int,
-    )
 }
--- /dev/null
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/VersionsSite.kt
@@ -0,0 +1,154 @@
+package tanagerlane.direct
+
+import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.assertions.withClue
+import io.kotest.matchers.shouldBe
+import io.vertx.core.Vertx
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeoutOrNull
+import tanagerlane.standin.store.ObjectStoreServer
+import java.io.IOException
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.toJavaDuration
+
+/**
+ * Three entries and a batch runner in processes of their own, and targets of several versions in this one.
+ *
+ * @param versions versions of the targets
+ * @param restartMilliseconds time for which a target that crashed is away, in milliseconds
+ */
+internal class VersionsSite(
+    private val vertx: Vertx,
+    versions: List<String>,
+    restartMilliseconds: Long,
+) {
+    private val client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build()
+    private lateinit var storeServer: ObjectStoreServer
+    val targets =
+        versions.mapIndexed { index, version ->
+            FakeTarget(
+                vertx,
+                "t$index",
+                EVENTS,
+                PAUSE_MILLISECONDS,
+                restartMilliseconds = restartMilliseconds,
+                version = version,
+            )
+        }
+    val deployment = FakeDeployment(vertx, targets)
+    lateinit var entries: List<EntryProcess>
+        private set
+    lateinit var runner: EntryProcess
+        private set
+
+    /** Starts everything; returns once all entries are ready and have had time to see all targets. */
+    suspend fun start() {
+        targets.forEach { it.start() }
+        deployment.prepare()
+        storeServer = ObjectStoreServer(deployment.store, vertx)
+        val storePort = storeServer.start(0)
+        entries = List(3) { EntryProcess("entry-$it", "entry", storePort) }
+        runner = EntryProcess("batch-1", "batch", storePort)
+        (entries + runner).forEach { it.start() }
+        (entries + runner).forEach { process ->
+            withClue({ process.output().takeLast(SHOWN_CHARACTERS) }) {
+                eventually(READY_TIME) { isReady(process) shouldBe true }
+            }
+        }
+        delay(1.seconds)
+    }
+
+    /** Lets [count] callers receive streams at once and calls [disturb] in the middle; returns them once all are done. */
+    suspend fun stream(
+        count: Int,
+        disturb: suspend () -> Unit,
+    ): List<StreamCaller> =
+        coroutineScope {
+            val callers =
+                List(count) {
+                    val round = it / entries.size
+                    StreamCaller("caller-$it", portsFor(it), repeatsEntry = round % 2 == 0, client)
+                }
+            val calls = callers.map { async { it.receive() } }
+            withTimeoutOrNull(START_TIME) {
+                while (callers.any { it.events.size < FIRST_EVENTS }) delay(POLL)
+            }
+            disturb()
+            calls.awaitAll()
+            callers
+        }
+
+    /** Returns the ports of all entries in the order in which the caller with this [index] tries them. */
+    private fun portsFor(index: Int): List<Int> {
+        val ports = entries.map { it.port }
+        val first = ports[index % ports.size]
+        val others = ports - first
+        return listOf(first) + if (index / (2 * ports.size) % 2 == 0) others else others.reversed()
+    }
+
+    /** Kills [processes] at the same moment and starts them again. */
+    suspend fun restart(processes: List<EntryProcess>) {
+        withContext(Dispatchers.IO) {
+            processes.forEach { it.kill() }
+            processes.forEach { it.awaitEnd() }
+            processes.forEach { it.start() }
+        }
+    }
+
+    /** Removes the targets of [version] from service; they also stop listening. */
+    suspend fun removeTargets(version: String) {
+        val removed = targets.filter { it.version == version }
+        removed.forEach { deployment.deregister(it.name) }
+        removed.forEach { it.crash() }
+    }
+
+    /** Returns the targets to which a request with this [id] came. */
+    fun targetsOf(id: String): List<FakeTarget> =
+        targets.filter { target -> target.requests.any { it.substringBefore(' ') == id } }
+
+    /** Returns the number of requests for whole streams that came to [target]. */
+    fun beganAt(target: FakeTarget): Int = target.requests.count { it.endsWith(" after 0") }
+
+    suspend fun close() {
+        if (::entries.isInitialized) {
+            withContext(Dispatchers.IO) {
+                (entries + runner).forEach { it.kill() }
+                (entries + runner).forEach { it.close() }
+            }
+        }
+        if (::storeServer.isInitialized) storeServer.stop()
+    }
+
+    private suspend fun isReady(process: EntryProcess): Boolean =
+        withContext(Dispatchers.IO) {
+            val uri = URI("http://localhost:${process.port}/ready")
+            val request = HttpRequest.newBuilder(uri).timeout(CHECK_TIME.toJavaDuration()).build()
+            try {
+                client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode() == READY
+            } catch (_: IOException) {
+                false
+            }
+        }
+
+    companion object {
+        const val EVENTS = 40
+        private const val PAUSE_MILLISECONDS = 20L
+        private const val FIRST_EVENTS = 5
+        private const val READY = 200
+        private const val SHOWN_CHARACTERS = 4_000
+        private val CHECK_TIME = 1.seconds
+        private val READY_TIME = 20.seconds
+        private val START_TIME = 500.milliseconds
+        private val POLL = 5.milliseconds
+    }
+}
