Test requests whose targets fall silent for 1.2 s and then go on

Change: SilentTargetTest sends streams that fall silent before their head, before the first event, between events and inside one, and calls, to one target and to two that are all full; undisturbed, beside a stop of the entry and beside a change of the configuration. One more case keeps the rule that a request at a target that stays silent goes on at another one with a free place.

--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeTarget.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeTarget.kt
@@ -9,7 +9,6 @@
 import io.vertx.kotlin.coroutines.coAwait
 import tanagerlane.standin.http.EndlessTarget
 import java.util.concurrent.CopyOnWriteArrayList
-import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.TimeSource
 
 /**
@@ -153,16 +152,27 @@
         request: HttpServerRequest,
         first: Int,
     ) {
+        val response = request.response().setChunked(true)
         if (end.events != null) {
-            val response = request.response().setChunked(true).also { it.writeHead() }
+            response.writeHead()
             repeat(end.events) { response.write("id: ${first + it}\ndata: event\n\n") }
+            if (end.isInsideEvent) response.write("id: ${first + end.events}\nda")
         }
         if (end.kind == EndKind.CRASH) crashing += run
         vertx.setTimer(end.delayMilliseconds) {
             when (end.kind) {
-                EndKind.CRASH -> crash(request.connection())
-                EndKind.CUT -> request.connection().close()
-                EndKind.LATE_ANSWER -> stream(request.response().setChunked(true), first)
+                EndKind.CRASH -> {
+                    crash(request.connection())
+                }
+
+                EndKind.CUT -> {
+                    request.connection().close()
+                }
+
+                EndKind.LATE_ANSWER -> {
+                    if (end.isInsideEvent) response.write("ta: event\n\n")
+                    stream(response, first + (end.events ?: 0) + if (end.isInsideEvent) 1 else 0)
+                }
             }
         }
     }
@@ -263,11 +273,13 @@
      *
      * @property events number of events sent before it ends, or null if not even the head is sent
      * @property delayMilliseconds time from there to the end, in milliseconds
+     * @property isInsideEvent whether the first bytes of another event are sent
      */
     data class EarlyEnd(
         val events: Int? = null,
         val delayMilliseconds: Long = 50,
         val kind: EndKind = EndKind.CRASH,
+        val isInsideEvent: Boolean = false,
     )
 
     enum class EndKind {
@@ -276,7 +288,7 @@
         /** Only the connection of the request is closed. */
         CUT,
 
-        /** The whole answer is sent after a silence. */
+        /** The rest of the answer is sent after a silence. */
         LATE_ANSWER,
     }
 
@@ -285,12 +297,4 @@
         val text: String,
         val pauseMilliseconds: Long? = null,
     )
-
-    /** An endless answer. */
-    class EndlessAnswer {
-        val bytes = AtomicLong()
-
-        @Volatile
-        var isClosed = false
-    }
 }
--- /dev/null
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/SilentTargetTest.kt
@@ -0,0 +1,134 @@
+package tanagerlane.direct
+
+import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.comparables.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import io.vertx.core.Vertx
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
+import tanagerlane.direct.FakeDeployment.StartedDaemon
+import tanagerlane.direct.FakeTarget.EarlyEnd
+import tanagerlane.direct.FakeTarget.EndKind
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.measureTimedValue
+
+/** Targets that fall silent for a while and then go on, each request at the first target that receives it. */
+class SilentTargetTest :
+    FunSpec({
+        val vertx = Vertx.vertx()
+        afterSpec { vertx.close().coAwait() }
+
+        for ((besides, disturb) in disturbances) {
+            listOf("an only target" to 1, "targets that are all full" to 2).forEach { (name, count) ->
+                test("requests at $name that fall silent for 1.2 s are answered whole by the first run, $besides") {
+                    val site = SilentSite.start(vertx, count, silenceMilliseconds = 1200)
+                    val outcomes =
+                        coroutineScope {
+                            launch {
+                                eventually(5.seconds) { site.runs.size shouldBe count * SilentSite.SILENCES.size }
+                                disturb(site)
+                            }
+                            site.sendAll(copies = count)
+                        }
+                    outcomes.filterValues { it != Outcome(runs = 1) } shouldBe emptyMap()
+                }
+            }
+        }
+
+        test("requests at a target that stays silent go on at another one that has a free place") {
+            val site = SilentSite.start(vertx, targetCount = 2, silenceMilliseconds = 4000)
+            val (outcomes, time) = measureTimedValue { site.sendAll(copies = 1) }
+            outcomes.filterValues { it != Outcome(runs = 2) } shouldBe emptyMap()
+            time shouldBeLessThan 3.seconds
+        }
+    })
+
+private val disturbances: Map<String, suspend (SilentSite) -> Unit> =
+    mapOf(
+        "undisturbed" to { _ -> },
+        "while the entry stops" to { site -> site.entry.daemon.drainAndStop() },
+        "while the configuration changes" to { site ->
+            site.deployment.changeRoutes { routes -> routes.map { it.copy(objective = 400.milliseconds) } }
+        },
+    )
+
+/** What a caller received, and how many runs began at targets. */
+private data class Outcome(
+    val status: Int? = 200,
+    val events: List<Int> = (1..10).toList(),
+    val isWhole: Boolean = true,
+    val runs: Int,
+)
+
+/** An entry and its targets, each of which has four places and a queue of one. */
+private class SilentSite(
+    val deployment: FakeDeployment,
+    val entry: StartedDaemon,
+    private val targets: List<FakeTarget>,
+) {
+    val runs get() = targets.flatMap { it.runs }.filter { it.path in SILENCES.map { silence -> silence.path } }
+
+    suspend fun sendAll(copies: Int): Map<String, Outcome> =
+        coroutineScope {
+            val requests = SILENCES.flatMap { silence -> List(copies) { silence.path to "${silence.path}-$it" } }
+            requests
+                .map { (path, id) ->
+                    async(Dispatchers.IO) {
+                        val answer = RawCaller.send(entry.port, path, id, body = id)
+                        val events = eventNumber.findAll(answer?.body.orEmpty()).map { it.groupValues[1].toInt() }
+                        val runsOfRequest = runs.count { it.body == id }
+                        id to Outcome(answer?.status, events.toList(), answer?.isWhole == true, runsOfRequest)
+                    }
+                }.awaitAll()
+                .toMap()
+        }
+
+    data class Silence(
+        val path: String,
+        val end: EarlyEnd,
+    )
+
+    companion object {
+        private val eventNumber = Regex("^id: (\\d+)$", RegexOption.MULTILINE)
+        val SILENCES =
+            listOf(
+                Silence("/streams/before-head", EarlyEnd(events = null)),
+                Silence("/streams/before-events", EarlyEnd(events = 0)),
+                Silence("/streams/between-events", EarlyEnd(events = 3)),
+                Silence("/streams/inside-event", EarlyEnd(events = 3, isInsideEvent = true)),
+                Silence("/calls/before-head", EarlyEnd(events = null)),
+            )
+
+        /** Starts a site whose targets are silent in the first run of each request. */
+        suspend fun start(
+            vertx: Vertx,
+            targetCount: Int,
+            silenceMilliseconds: Long,
+        ): SilentSite {
+            val begun = ConcurrentHashMap.newKeySet<String>()
+            val targets = List(targetCount) { FakeTarget(vertx, "t$it").start() }
+            for (target in targets) {
+                target.endsEarly = { run ->
+                    SILENCES
+                        .firstOrNull { it.path == run.path && begun.add(run.body) }
+                        ?.end
+                        ?.copy(delayMilliseconds = silenceMilliseconds, kind = EndKind.LATE_ANSWER)
+                }
+            }
+            val deployment = FakeDeployment(vertx, targets).also { it.prepare() }
+            val entry = deployment.start("entry-1", "entry")
+            withContext(Dispatchers.IO) {
+                eventually(10.seconds) { RawCaller.send(entry.port, "/streams/first", "first")?.status shouldBe 200 }
+            }
+            return SilentSite(deployment, entry, targets)
+        }
+    }
+}
