Leave a silent target only for a place that is held at another one

Cause: after twice the longest pause of its route (0.5 s), or without a head after twice its objective, an attempt was closed before it was known whether another target had a place.

Change: when that time is over, PlaceElsewhere decides. It takes a place at another target, which the next attempt uses; if the request may not go on elsewhere, or no place is free now, it stays and decides again every 250 ms, up to its deadline, and for a stream up to 30 s of silence or 120 s for one event, as before where a stream can't be repeated. A held place that isn't used is given back. The silent target is marked as failed when the request first stays and when it is left. TargetClient.call asks for further time, SilenceWatch serves streams and items. Pieces are received by a select, since a timeout that is followed by another wait must not lose one. An item that is silent for 1 s leaves only if another target has a place for it, and after 5 s. Counter tanagerlane.targets.silent (left, kept) and one line for each.

Open: a request at a target that never goes on stays there while all places elsewhere are taken, also where it would have waited in the queue for one before.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/AnswerForwarder.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/AnswerForwarder.kt
@@ -11,7 +11,6 @@
 import tanagerlane.serving.RouteKind
 import tanagerlane.streams.AnswerLimits
 import tanagerlane.streams.EventAssembler
-import tanagerlane.streams.PartialEventTimer
 import tanagerlane.streams.ResumptionCheck
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -33,18 +32,22 @@
     /**
      * Forwards [answer], which [target] gives to [request].
      *
+     * @param leaves whether the target is to be left if it is silent; see [SilenceWatch]
      * @return the outcome of the attempt, or null if the request has its final answer
      */
     suspend fun forward(
         request: OnlineRequest,
         target: DirectTarget,
         answer: TargetAnswer,
-    ): AttemptEnd? =
-        when {
+        leaves: () -> Boolean,
+    ): AttemptEnd? {
+        val isStream = answer.status in SUCCESS && request.route.kind == RouteKind.STREAM
+        return when {
             answer.isNotRun(names) -> handleNotRun(target, answer)
-            answer.status in SUCCESS && request.route.kind == RouteKind.STREAM -> forwardStream(request, target, answer)
+            isStream -> forwardStream(request, target, answer, leaves)
             else -> forwardWhole(request, target, answer)
         }
+    }
 
     private fun handleNotRun(
         target: DirectTarget,
@@ -153,18 +156,19 @@
         request: OnlineRequest,
         target: DirectTarget,
         answer: TargetAnswer,
+        leaves: () -> Boolean,
     ): AttemptEnd? {
         val assembler = EventAssembler()
         val resumption = if (request.isAnswerStarted) ResumptionCheck(request.lastEvent) else null
-        val eventTimer = PartialEventTimer(silenceTimeout(request) * SILENCES_PER_EVENT)
+        val watch =
+            SilenceWatch(SilenceLimits.forStream(request.route, request.possibleRuns), request.deadline, now, leaves)
         var hasEvents = false
         var receivedBytes = 0
         while (true) {
-            val timeout = minOf(request.deadline - now(), silenceTimeout(request), eventTimer.timeLeft(now()))
             val piece =
                 answer.pieces.tryReceive().takeIf { it.isSuccess }
-                    ?: withTimeoutOrNull(timeout) { answer.pieces.receiveCatching() }
-                    ?: return recordBroken(request, target, "event incomplete, waited $timeout for the next bytes")
+                    ?: watch.next(answer.pieces)
+                    ?: return recordBroken(request, target, "event incomplete, waited ${watch.silence} for bytes")
             piece.exceptionOrNull()?.let {
                 recordLost(request, target, answer, hasContent = hasEvents)
                 return recordBroken(request, target, it.toString())
@@ -189,7 +193,7 @@
             if (assembler.isOverlong) {
                 return recordBroken(request, target, "event exceeds ${AnswerLimits.MAXIMUM_EVENT_BYTES} bytes")
             }
-            eventTimer.update(assembler.isInsideEvent, events.isNotEmpty(), now())
+            watch.update(assembler.isInsideEvent, events.isNotEmpty())
             receivedBytes = (receivedBytes + bytes.length()).coerceAtMost(LONG_ANSWER_BYTES + 1)
             yieldProcessor(receivedBytes)
             if (request.exchange.isWriteQueueFull) {
@@ -267,12 +271,6 @@
         }
     }
 
-    private fun silenceTimeout(request: OnlineRequest): Duration {
-        val mayRepeat = request.route.isRepeatable && request.possibleRuns + 1 < request.route.attempts
-        val pause = request.route.longestPause ?: return MAXIMUM_SILENCE
-        return if (mayRepeat) pause * PAUSES_PER_SILENCE else MAXIMUM_SILENCE
-    }
-
     private companion object {
         const val FIRST_SERVER_ERROR = 500
         val SUCCESS = 200..299
@@ -284,15 +282,6 @@
         const val LONG_ANSWER_BYTES = 64 shl 10
         val TOLERATED_PROCESSOR_DELAY = 20.milliseconds
         val MAXIMUM_YIELD = 200.milliseconds
-
-        /** Silence after which a stream is considered lost, as a multiple of the longest pause between events. */
-        const val PAUSES_PER_SILENCE = 2
-
-        /** Silence timeout if the request cannot be repeated or the route configures no longest pause. */
-        val MAXIMUM_SILENCE = 30_000.milliseconds
-
-        /** Time limit for one complete event, as a multiple of the silence timeout. */
-        const val SILENCES_PER_EVENT = 4
         val logger = LoggerFactory.getLogger(AnswerForwarder::class.java)
     }
 }
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/BatchPlacement.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/BatchPlacement.kt
@@ -39,6 +39,19 @@
             ?: null.also { full += place }
     }
 
+    /** Whether a target other than [current] has a place for the item [id] of [route] and [workspace] at [now]. */
+    fun hasPlaceElsewhere(
+        id: RequestId,
+        route: ServingRoute,
+        workspace: ServingWorkspace?,
+        current: DirectTarget,
+        now: Instant,
+    ): Boolean {
+        val service = route.serviceFor(id) ?: return false
+        val mayUse = rules.targetsFor(route, workspace)
+        return loadBalancer.placeBatch(service, now, { it.name != current.name && mayUse(it) }, headroom) != null
+    }
+
     /** A service within the home regions of a route and a workspace, and the places that stay free. */
     private data class Place(
         val service: ServiceName,
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallFault.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallFault.kt
@@ -9,9 +9,9 @@
         val cause: String,
     ) : CallFault
 
-    /** The request was sent, but the head of the answer did not arrive within [timeout]. */
+    /** The request was sent, but the head of the answer did not arrive within the [time] that it was given. */
     data class TimedOut(
-        val timeout: Duration,
+        val time: Duration,
     ) : CallFault
 
     /** The request was sent, but no complete and valid head of an answer arrived; [cause] says why. */
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectMetrics.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectMetrics.kt
@@ -48,6 +48,12 @@
     /** Results of batch items that were added to the result lists of their jobs. */
     val listed: Counter = Counter.builder("tanagerlane.items.listed").register(registry)
 
+    /** Targets that a request left for a place at another one because they were silent. */
+    val silentTargetsLeft: Counter = silentTargets("left")
+
+    /** Silent targets with which a request stayed, because it had no place elsewhere. */
+    val silentTargetsKept: Counter = silentTargets("kept")
+
     /** Requests that were lost because their target crashed. */
     val crashEvidence: Counter = Counter.builder("tanagerlane.requests.lost.in.crashes").register(registry)
 
@@ -107,6 +113,9 @@
             .record(time.toJavaDuration())
     }
 
+    private fun silentTargets(decision: String) =
+        Counter.builder("tanagerlane.targets.silent").tag("decision", decision).register(registry)
+
     /** Returns the counter of attempts that ended with [end]. */
     fun attempts(end: AttemptEnd): Counter = attempts.getValue(end)
 
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ItemRunner.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ItemRunner.kt
@@ -3,7 +3,6 @@
 import com.github.michaelbull.result.getOrElse
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpMethod
-import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
 import tanagerlane.joblog.JobRecord
 import tanagerlane.joblog.RawItem
@@ -11,7 +10,6 @@
 import tanagerlane.runtime.MonotonicClock
 import tanagerlane.streams.AnswerLimits
 import tanagerlane.streams.EventAssembler
-import tanagerlane.streams.PartialEventTimer
 import tanagerlane.streams.ResumptionCheck
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -36,11 +34,14 @@
      * Runs an item at [target] and adds the received events to [progress].
      *
      * Cancellation also stops the run at the target.
+     *
+     * @param hasPlaceElsewhere whether another target has a place for the item, so that it may leave a silent one
      */
     suspend fun run(
         job: JobRecord,
         progress: ItemProgress,
         target: DirectTarget,
+        hasPlaceElsewhere: () -> Boolean = { true },
     ): ItemEnding {
         val item = progress.item
         progress.runStarts()
@@ -69,7 +70,7 @@
                 return if (fault is CallFault.NotSent) ItemEnding.NOT_RUN else ItemEnding.BROKEN
             }
         try {
-            return receive(answer, progress, target)
+            return receive(answer, progress, target, hasPlaceElsewhere)
         } finally {
             answer.close()
         }
@@ -79,11 +80,12 @@
         answer: TargetAnswer,
         progress: ItemProgress,
         target: DirectTarget,
+        hasPlaceElsewhere: () -> Boolean,
     ): ItemEnding =
         when {
             answer.isNotRun(headerNames) -> notRun(answer, progress)
             answer.status == UNPROCESSABLE -> ItemEnding.IMPOSSIBLE
-            answer.status in SUCCESS -> collect(answer, progress, target)
+            answer.status in SUCCESS -> collect(answer, progress, target, hasPlaceElsewhere)
             else -> ItemEnding.FAILED
         }
 
@@ -99,6 +101,7 @@
         answer: TargetAnswer,
         progress: ItemProgress,
         target: DirectTarget,
+        hasPlaceElsewhere: () -> Boolean,
     ): ItemEnding {
         val assembler = EventAssembler()
         if (progress.lastEvent == null) {
@@ -106,17 +109,16 @@
         }
         val resumption = if (progress.eventCount > 0) ResumptionCheck(progress.lastEvent) else null
         var hasEvents = false
-        val partialEventTimer = PartialEventTimer(EVENT_TIMEOUT)
+        val watch = SilenceWatch(SILENCE_LIMITS, Instant.DISTANT_FUTURE, now, hasPlaceElsewhere)
         while (true) {
-            val timeout = minOf(SILENCE_TIMEOUT, partialEventTimer.timeLeft(now()))
-            val piece = withTimeoutOrNull(timeout) { answer.pieces.receiveCatching() }
+            val piece = watch.next(answer.pieces)
             if (piece?.exceptionOrNull() != null && !hasEvents) {
                 onLost(progress.item, target, true)
             }
             if (piece == null || piece.exceptionOrNull() != null) {
                 return interrupted(
                     progress,
-                    piece?.exceptionOrNull()?.toString() ?: "no complete event within $timeout",
+                    piece?.exceptionOrNull()?.toString() ?: "event incomplete, waited ${watch.silence} for bytes",
                 )
             }
             val bytes = piece.getOrNull() ?: break
@@ -138,7 +140,7 @@
             if (assembler.isOverlong) {
                 return interrupted(progress, "event exceeds ${AnswerLimits.MAXIMUM_EVENT_BYTES} bytes")
             }
-            partialEventTimer.update(assembler.isInsideEvent, events.isNotEmpty(), now())
+            watch.update(assembler.isInsideEvent, events.isNotEmpty())
         }
         if (assembler.isInsideEvent) {
             return interrupted(progress, "stream ended inside an event")
@@ -173,11 +175,9 @@
         /** Time within which the head of the answer must be received. */
         val HEAD_TIMEOUT = 3.seconds
 
-        /** Time within which the next bytes of the answer must be received. */
-        val SILENCE_TIMEOUT = 1.seconds
-
-        /** Time within which an event must be complete once its first bytes were received. */
-        val EVENT_TIMEOUT = 5.seconds
+        /** A run that breaks off costs the whole prompt of the item once more. */
+        val SILENCE_LIMITS =
+            SilenceLimits(silence = 1.seconds, event = 5.seconds, maximumSilence = 5.seconds, maximumEvent = 5.seconds)
         val logger = LoggerFactory.getLogger(ItemRunner::class.java)
     }
 }
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobRunner.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobRunner.kt
@@ -257,11 +257,8 @@
             assignedJobs.values
                 .filter { !it.log.isFinished && !it.mayBeStale && it.unlisted.size < MAXIMUM_UNLISTED_RESULTS }
                 .flatMap { job ->
-                    job
-                        .startable(
-                            now(),
-                        ).filterNot { isQuarantined(it.item) }
-                        .map { StartableItem(job, it, urgencyOf(job, it)) }
+                    val items = job.startable(now()).filterNot { isQuarantined(it.item) }
+                    items.map { StartableItem(job, it, urgencyOf(job, it)) }
                 }.sortedBy { it.urgency }
         val placement = BatchPlacement(loadBalancer, rules, headroom)
         for (item in startable) {
@@ -269,7 +266,9 @@
             val workspace = configuration()?.workspaces?.get(item.job.log.record.workspace)
             val isPressing = item.urgency.isPressing(wallClock(), PRESSING_MARGIN)
             val target = placement.targetFor(item.progress.item.id, route, workspace, isPressing, now()) ?: continue
-            start(item.job, item.progress, target)
+            start(item.job, item.progress, target) {
+                placement.hasPlaceElsewhere(item.progress.item.id, route, workspace, target, now())
+            }
         }
     }
 
@@ -290,6 +289,7 @@
         job: AssignedJob,
         progress: ItemProgress,
         target: DirectTarget,
+        hasPlaceElsewhere: () -> Boolean,
     ) {
         val id = progress.item.id
         loadBalancer.started(target.name, RequestClass.BATCH)
@@ -300,7 +300,7 @@
             scope.launch(start = CoroutineStart.LAZY) {
                 var ending = ItemEnding.BROKEN
                 try {
-                    ending = itemRunner.run(job.log.record, progress, target)
+                    ending = itemRunner.run(job.log.record, progress, target, hasPlaceElsewhere)
                 } catch (exception: CancellationException) {
                     ending = ItemEnding.STOPPED
                     throw exception
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineHandler.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineHandler.kt
@@ -25,8 +25,18 @@
     private val metrics: DirectMetrics,
     private val now: () -> Instant,
 ) {
+    private val elsewhere = PlaceElsewhere(loadBalancer, places, promptGuard, metrics)
+
     /** Serves [request] until it is answered, refused or aborted. */
     suspend fun serve(request: OnlineRequest) {
+        try {
+            serveInTurn(request)
+        } finally {
+            places.release(request)
+        }
+    }
+
+    private suspend fun serveInTurn(request: OnlineRequest) {
         request.lastEvent?.let {
             val resumed = request.exchange.resumedAttempt
             logger.info("stream resumed by caller request={} resumes={} last_event={}", request.id, resumed, it)
@@ -131,10 +141,11 @@
                 body = request.body,
             )
         val sentAt = now()
-        return client.call(target, outgoing, headTimeout(request, remaining)).fold(
+        val furtherTime = { elsewhere.furtherTime(request, target, now()) }
+        return client.call(target, outgoing, headTimeout(request, remaining), furtherTime).fold(
             success = { answer ->
                 try {
-                    forwarder.forward(request, target, answer)
+                    forwarder.forward(request, target, answer) { elsewhere.leaves(request, target, now()) }
                 } finally {
                     answer.close()
                 }
@@ -158,7 +169,7 @@
         fault: CallFault,
     ): Boolean = fault is CallFault.TimedOut && now() >= request.deadline
 
-    /** Timeout for the head of an answer; shorter if another target may be tried afterwards. */
+    /** Time for the head of an answer, after which another target is considered where one may be tried. */
     private fun headTimeout(
         request: OnlineRequest,
         remaining: Duration,
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlinePlaces.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlinePlaces.kt
@@ -12,6 +12,7 @@
 import tanagerlane.places.DirectTarget
 import tanagerlane.places.LoadBalancer
 import tanagerlane.places.Placement
+import tanagerlane.places.PlacementRequest
 import tanagerlane.serving.NextStep
 import kotlin.time.Instant
 
@@ -41,7 +42,8 @@
         request: OnlineRequest,
         call: suspend (DirectTarget) -> NextStep?,
     ): Result<NextStep?, RefusalReason> {
-        val place = find(request).getOrElse { return Err(it) }
+        val place = request.heldPlace ?: find(request).getOrElse { return Err(it) }
+        request.heldPlace = null
         val rejections = request.notRunAttempts
         var hasEnded = false
         request.triedTargets += place.target.name
@@ -51,15 +53,52 @@
             hasEnded = next == null
             return Ok(next)
         } finally {
-            if (place.admitted == null) {
-                loadBalancer.ended(place.target.name, RequestClass.ONLINE)
-            } else {
-                placeQueue?.leave(place.target, place.admitted, request.notRunAttempts > rejections, hasEnded)
-            }
-            reports.requestReport()
+            giveBack(place, request.notRunAttempts > rejections, hasEnded)
         }
     }
 
+    /**
+     * Takes a place for the next attempt of [request] at a target other than [current], where one is free now.
+     *
+     * @return the place, which the next call of [use] uses; null if there is none
+     */
+    fun hold(
+        request: OnlineRequest,
+        current: DirectTarget,
+    ): HeldPlace? {
+        val placement = request.placement(rules)
+        val elsewhere = placement.copy(mayUse = { it.name != current.name && placement.mayUse(it) })
+        val held = if (placeQueue != null) placeQueue.take(request, elsewhere) else take(elsewhere)
+        request.heldPlace = held
+        return held
+    }
+
+    /** Gives back the place that [request] holds for an attempt that is not made. */
+    fun release(request: OnlineRequest) {
+        request.heldPlace?.let { giveBack(it, isRejected = false, hasAnswered = false) }
+        request.heldPlace = null
+    }
+
+    private fun take(placement: PlacementRequest): HeldPlace? {
+        val target = (loadBalancer.place(placement, now()) as? Placement.At)?.target ?: return null
+        if (loadBalancer.load(target.name, now()).online >= target.places) return null
+        loadBalancer.started(target.name, RequestClass.ONLINE)
+        return HeldPlace(target)
+    }
+
+    private fun giveBack(
+        place: HeldPlace,
+        isRejected: Boolean,
+        hasAnswered: Boolean,
+    ) {
+        if (place.admitted == null) {
+            loadBalancer.ended(place.target.name, RequestClass.ONLINE)
+        } else {
+            placeQueue?.leave(place.target, place.admitted, isRejected, hasAnswered)
+        }
+        reports.requestReport()
+    }
+
     private suspend fun find(request: OnlineRequest): Result<HeldPlace, RefusalReason> {
         if (placeQueue != null) {
             return placeQueue.find(request)
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineRequest.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineRequest.kt
@@ -42,6 +42,12 @@
     /** Number of the last event that was forwarded, or that the caller already had, or null. */
     var lastEvent: Long? = exchange.resumeAfter
 
+    /** Place for the next attempt, taken before the attempt at a silent target was given up, or null. */
+    var heldPlace: HeldPlace? = null
+
+    /** Silent target with which the request last stayed, or null. */
+    var silentTarget: TargetName? = null
+
     /** Why the request was refused for want of a place after or instead of a wait, or null. */
     var waitingRefusal: WaitingDecision.Refused? = null
 
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/PlaceQueue.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/PlaceQueue.kt
@@ -16,6 +16,7 @@
 import tanagerlane.model.ServiceName
 import tanagerlane.places.DirectTarget
 import tanagerlane.places.Placement
+import tanagerlane.places.PlacementRequest
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
 
@@ -58,6 +59,17 @@
         return waitFor(Waiter(request, wanted, now()))
     }
 
+    /** Takes a place for [request] at a target that [placement] permits; returns null unless one is free now. */
+    fun take(
+        request: OnlineRequest,
+        placement: PlacementRequest,
+    ): HeldPlace? {
+        val wanted = wantedBy(request)
+        if (!queue.mayPass(wanted, { free(request.service) }, now())) return null
+        val target = (finder.find(placement, now()) as? Placement.At)?.target ?: return null
+        return if (finder.isBusy(target.name, target.places, now())) null else occupy(wanted, target)
+    }
+
     /**
      * Gives the place of [admitted] at [target] back.
      *
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetClient.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetClient.kt
@@ -55,19 +55,24 @@
     private val idle =
         IdleConnections(now) { time, action -> vertx.setTimer(time.inWholeMilliseconds + 1) { action() } }
 
-    /** Sends [request] to [target]; fails if the head of the answer does not arrive within [timeout]. */
+    /**
+     * Sends [request] to [target]; fails if the head of the answer does not arrive within [timeout].
+     *
+     * @param furtherTime called when the time is over; returns how much longer to wait, or null to end the call
+     */
     suspend fun call(
         target: DirectTarget,
         request: TargetRequest,
         timeout: Duration,
+        furtherTime: () -> Duration? = { null },
     ): Result<TargetAnswer, CallFault> {
         val connection = connect(target, request.id, timeout).getOrElse { return Err(it) }
         val sentAt = now()
         val exchange = TargetExchange(connection, idle, request.id, requestIdHeader, budget) { now() - sentAt }
         var answer: Result<TargetAnswer, CallFault>? = null
         try {
-            answer = withTimeoutOrNull(timeout) { exchange.run(request) }
-            return answer ?: Err(CallFault.TimedOut(timeout))
+            answer = withExtendableTimeout(timeout, furtherTime) { exchange.run(request) }
+            return answer ?: Err(CallFault.TimedOut(now() - sentAt))
         } finally {
             if (answer == null || answer.isErr) {
                 exchange.abort()
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/SilentTargetTest.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/SilentTargetTest.kt
@@ -43,11 +43,28 @@
             }
         }
 
-        test("requests at a target that stays silent go on at another one that has a free place") {
-            val site = SilentSite.start(vertx, targetCount = 2, silenceMilliseconds = 4000)
-            val (outcomes, time) = measureTimedValue { site.sendAll(copies = 1) }
-            outcomes.filterValues { it != Outcome(runs = 2) } shouldBe emptyMap()
-            time shouldBeLessThan 3.seconds
+        mapOf("are refused" to false, "wait" to true).forEach { (name, waiting) ->
+            test("requests at a silent target go on at another one with a free place, where those without one $name") {
+                val site = SilentSite.start(vertx, targetCount = 2, silenceMilliseconds = 4000, waiting)
+                val (outcomes, time) = measureTimedValue { site.sendAll(copies = 1) }
+                outcomes.filterValues { it != Outcome(runs = 2) } shouldBe emptyMap()
+                time shouldBeLessThan 3.seconds
+            }
+        }
+
+        listOf(1 to 1, 2 to 2).forEach { (targetCount, runs) ->
+            test("an item at a target that is silent for 3 s is run $runs times if there are $targetCount targets") {
+                val site = SilentSite.start(vertx, targetCount, silenceMilliseconds = 3000)
+                site.deployment.start("batch-1", "batch")
+                withContext(Dispatchers.IO) {
+                    RawCaller.send(site.entry.port, "/jobs/x", "job-1", body = SilentSite.ITEM)?.status shouldBe 202
+                    eventually(12.seconds) {
+                        RawCaller.send(site.entry.port, "/results/job-1", "r")?.body shouldBe
+                            "${SilentSite.ITEM} COMPLETED 10\n1 of 1"
+                    }
+                }
+                site.runs.size shouldBe runs
+            }
         }
     })
 
@@ -74,7 +91,8 @@
     val entry: StartedDaemon,
     private val targets: List<FakeTarget>,
 ) {
-    val runs get() = targets.flatMap { it.runs }.filter { it.path in SILENCES.map { silence -> silence.path } }
+    /** Runs of the requests and items that are silent at first. */
+    val runs get() = targets.flatMap { it.runs }.filter { it.path in silentPaths }
 
     suspend fun sendAll(copies: Int): Map<String, Outcome> =
         coroutineScope {
@@ -97,6 +115,7 @@
     )
 
     companion object {
+        const val ITEM = "item"
         private val eventNumber = Regex("^id: (\\d+)$", RegexOption.MULTILINE)
         val SILENCES =
             listOf(
@@ -107,24 +126,28 @@
                 Silence("/calls/before-head", EarlyEnd(events = null)),
             )
 
+        private val itemSilence = Silence("/jobs/$ITEM", EarlyEnd(events = 3))
+        private val silentPaths = (SILENCES + itemSilence).map { it.path }
+
         /** Starts a site whose targets are silent in the first run of each request. */
         suspend fun start(
             vertx: Vertx,
             targetCount: Int,
             silenceMilliseconds: Long,
+            waiting: Boolean = false,
         ): SilentSite {
             val begun = ConcurrentHashMap.newKeySet<String>()
             val targets = List(targetCount) { FakeTarget(vertx, "t$it").start() }
             for (target in targets) {
                 target.endsEarly = { run ->
-                    SILENCES
+                    (SILENCES + itemSilence)
                         .firstOrNull { it.path == run.path && begun.add(run.body) }
                         ?.end
                         ?.copy(delayMilliseconds = silenceMilliseconds, kind = EndKind.LATE_ANSWER)
                 }
             }
             val deployment = FakeDeployment(vertx, targets).also { it.prepare() }
-            val entry = deployment.start("entry-1", "entry")
+            val entry = deployment.start("entry-1", "entry", waiting = waiting)
             withContext(Dispatchers.IO) {
                 eventually(10.seconds) { RawCaller.send(entry.port, "/streams/first", "first")?.status shouldBe 200 }
             }
--- a/tanagerlane-runtime/src/main/kotlin/tanagerlane/runtime/AnswerPieces.kt
+++ b/tanagerlane-runtime/src/main/kotlin/tanagerlane/runtime/AnswerPieces.kt
@@ -4,6 +4,8 @@
 import io.vertx.core.http.HttpClientResponse
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.channels.ChannelResult
+import tanagerlane.concurrency.receiveCatchingWithin
+import kotlin.time.Duration
 
 /**
  * The pieces of an answer's body, as far as they have come and were not taken.
@@ -39,6 +41,10 @@
     /** Waits for the next piece; closed at the end of the body, with a cause where it broke off. */
     public suspend fun receiveCatching(): ChannelResult<Buffer> = taken(pieces.receiveCatching())
 
+    /** Waits for the next piece, or returns null if neither a piece nor the end of the body comes within [timeout]. */
+    public suspend fun receiveWithin(timeout: Duration): ChannelResult<Buffer>? =
+        pieces.receiveCatchingWithin(timeout)?.let(::taken)
+
     /** Waits for the next piece and returns it, or null at the end of the body; throws the cause where it broke off. */
     public suspend fun next(): Buffer? {
         val result = receiveCatching()
