--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/BatchPlacement.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/BatchPlacement.kt
@@ -58,6 +58,21 @@
         return place.takeIf { isContinuable }
     }
 
+    /** Whether a target other than [current] has a place at [now] at which the item of [progress] can go on. */
+    fun hasPlaceElsewhere(
+        progress: ItemProgress,
+        route: ServingRoute,
+        workspace: ServingWorkspace?,
+        current: DirectTarget,
+        now: Instant,
+    ): Boolean {
+        val service = route.serviceFor(progress.item.id) ?: return false
+        val isPermitted = rules.targetsFor(route, workspace)
+        val rule = progress.continuationRule
+        val mayUse = { it: DirectTarget -> it.name != current.name && isPermitted(it) && rule?.permits(it) != false }
+        return loadBalancer.placeBatch(service, now, mayUse, headroom) != null
+    }
+
     /** A service within the home regions of a route and a workspace, and the places that stay free. */
     private data class Place(
         val service: ServiceName,
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeDeployment.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeDeployment.kt
@@ -1,6 +1,7 @@
 package tanagerlane.direct
 
 import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getOrElse
 import io.vertx.core.Vertx
 import kotlinx.serialization.json.Json
@@ -92,14 +93,13 @@
         leaving: Boolean = false,
     ) {
         val key = ObjectKey("targets/$name")
-        val before = store.get(key).getOrElse { null }?.version
-        store.put(key, Payload.of("$port,$serviceName,$version,$leaving"), before)
+        store.put(key, Payload.of("$port,$serviceName,$version,$leaving"), store.get(key).get()?.version)
     }
 
     /** Removes the registration of the target [name]. */
     suspend fun deregister(name: String) {
         val key = ObjectKey("targets/$name")
-        store.get(key).getOrElse { null }?.let { store.delete(key, it.version) }
+        store.get(key).get()?.let { store.delete(key, it.version) }
     }
 
     /** Puts a configuration in force that has the routes which [change] makes of those at the start. */
