--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/RefusalExplanation.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/RefusalExplanation.kt
@@ -19,6 +19,7 @@
             RefusalReason.STORE_UNAVAILABLE -> "The platform's store could not be reached."
             RefusalReason.CONFIGURATION_STALE -> "The host cannot tell whether its configuration is current."
             RefusalReason.QUARANTINED -> "Targets crashed when they began to answer such prompts."
+            RefusalReason.NOT_RESUMABLE -> "No target may continue the stream."
             RefusalReason.SHUTTING_DOWN -> "The host is stopping."
             RefusalReason.OUTCOME_UNKNOWN -> "The target was lost while the request may have been running."
             RefusalReason.TARGET_FAILED -> "The target failed while the request may have been running."
