--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/RefusalStatus.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/RefusalStatus.kt
@@ -28,6 +28,7 @@
             RefusalReason.NO_TARGET,
             RefusalReason.STORE_UNAVAILABLE,
             RefusalReason.CONFIGURATION_STALE,
+            RefusalReason.NOT_RESUMABLE,
             RefusalReason.QUARANTINED,
             RefusalReason.SHUTTING_DOWN,
             -> 503
