Count versions as in service until the observation that misses them

Cause: VersionHistory dated a version by the last observation that listed it. If no observation followed for longer than the lifetime of streams, as in a process that was frozen, the next one made its successor the sole version at once, while streams of the version before were still open. Change: versions of the previous observation are recorded as seen by the next one, too. Tests of the history and of the selection of keepers.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/resumption/VersionHistory.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/resumption/VersionHistory.kt
@@ -11,6 +11,7 @@
 public class VersionHistory {
     private val lastSeen = HashMap<ServiceName, HashMap<SoftwareVersion, Instant>>()
     private var current: Map<TargetName, SoftwareVersion> = emptyMap()
+    private var ofServices: Map<ServiceName, Set<SoftwareVersion>> = emptyMap()
     private var mixedServices: Set<ServiceName> = emptySet()
     private var completeSince: Instant? = null
 
@@ -21,9 +22,11 @@
     ) {
         completeSince = completeSince ?: now
         current = targets.associate { it.name to it.version }
-        val ofServices = targets.groupBy({ it.service }, { it.version })
-        mixedServices = ofServices.filterValues { it.toSet().size > 1 }.keys
-        targets.forEach { lastSeen.getOrPut(it.service) { HashMap() }[it.version] = now }
+        // Versions that are gone now may have been in service until now.
+        ofServices.forEach { (service, versions) -> record(service, versions, now) }
+        ofServices = targets.groupBy({ it.service }, { it.version }).mapValues { it.value.toSet() }
+        mixedServices = ofServices.filterValues { it.size > 1 }.keys
+        ofServices.forEach { (service, versions) -> record(service, versions, now) }
     }
 
     /** Records that the deployment is new, so that no targets were in service before the first ones observed. */
@@ -59,4 +62,13 @@
 
     /** Returns the version of [target], or null if it is not in service. */
     public fun versionOf(target: TargetName): SoftwareVersion? = current[target]
+
+    private fun record(
+        service: ServiceName,
+        versions: Set<SoftwareVersion>,
+        now: Instant,
+    ) {
+        val seen = lastSeen.getOrPut(service) { HashMap() }
+        versions.forEach { seen[it] = now }
+    }
 }
