Do not trust the own view of versions while no other process replies

Cause: an entry that is cut off from the others and whose view has not been updated takes the version that it lists for the only one for up to 3 s, although a new one is in service: nobody can tell it where the stream began. Change: if other processes were asked and none has replied, the own view does not decide. An entry without others to ask decides alone as before. While all others that are registered are down, streams that this entry does not know are refused.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/resumption/OriginDirectory.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/resumption/OriginDirectory.kt
@@ -113,6 +113,7 @@
      * @param service service at which it would go on
      * @param replies what other processes know
      * @param isCurrent whether the targets in service are known as of lately
+     * @param isIsolated whether other processes were asked and none has replied
      */
     public fun resolve(
         attempt: RequestId?,
@@ -120,6 +121,7 @@
         replies: Collection<OriginReply>,
         isCurrent: Boolean,
         now: Instant,
+        isIsolated: Boolean = false,
     ): Resumption {
         attempt?.let { find(it, now) }?.let { return Resumption.At(it, OriginSource.OWN) }
         replies.firstNotNullOfOrNull { it.origin?.takeUnless(::isDoubtful) }?.let { origin ->
@@ -129,7 +131,7 @@
         if (replies.any { it.origin != null }) {
             return Resumption.Unknown
         }
-        val own = if (isCurrent) versions.soleVersion(service, lifetime, now) else null
+        val own = if (isCurrent && !isIsolated) versions.soleVersion(service, lifetime, now) else null
         val told = replies.mapNotNullTo(HashSet()) { it.soleVersion }
         val seen = versions.versions(service, lifetime, now)
         val version = (told + listOfNotNull(own)).singleOrNull()?.takeIf { (seen - it).isEmpty() }
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/StreamResumption.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/StreamResumption.kt
@@ -84,8 +84,9 @@
         val attempt = request.exchange.resumedAttempt?.let(::RequestId)
         val service = request.route.serviceFor(attempt ?: RequestId(request.id)) ?: request.service
         val known = attempt?.let { directory.find(it, now()) }
-        val replies = if (known == null) ask(OriginQuery(fleet.ownHost, ++lastQuery, attempt, service)) else emptyList()
-        val resumption = directory.resolve(attempt, service, replies, isCurrent, now())
+        val replies = if (known == null) ask(OriginQuery(fleet.ownHost, ++lastQuery, attempt, service)) else null
+        val isIsolated = replies?.isEmpty() ?: false
+        val resumption = directory.resolve(attempt, service, replies.orEmpty(), isCurrent, now(), isIsolated)
         val resumed = resumption as? Resumption.At
         val outcome = resumed?.source?.name?.lowercase() ?: "unknown"
         metrics.resumed(outcome).increment()
@@ -98,7 +99,7 @@
             resumed?.origin?.version,
             resumed?.origin?.target,
             resumed?.origin?.age,
-            replies.size,
+            replies?.size,
         )
         val origin = resumed?.origin ?: return false
         if (request.route.services.none { it.service == origin.service }) {
@@ -132,11 +133,11 @@
         }
     }
 
-    /** Asks the keepers of the stream; returns the replies up to the first one that names its origin. */
-    private suspend fun ask(query: OriginQuery): Collection<OriginReply> {
+    /** Asks the keepers of the stream; returns the replies up to the first with its origin, or null without keepers. */
+    private suspend fun ask(query: OriginQuery): Collection<OriginReply>? {
         val asked = OriginKeepers.asked(query.attempt, fleet.members, fleet.ownHost)
         if (asked.isEmpty()) {
-            return emptyList()
+            return null
         }
         val expected = asked.filterTo(HashSet()) { it in fleet.reachable }.ifEmpty { asked.toSet() }
         val pending = OpenQuery(expected)
