--- /dev/null
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/ResumptionTroubles.kt
@@ -0,0 +1,87 @@
+package tanagerlane.resumption
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Processes that are killed at once. */
+internal enum class Kill { ONE_ENTRY, SOME_ENTRIES, ALL_ENTRIES, ALL_PROCESSES, FAILURE_DOMAIN }
+
+/**
+ * Size and troubles of a simulated run.
+ *
+ * @property streamsPerSecond number of streams that callers begin per second
+ * @property kill processes that are killed every [killPause]
+ * @property lossShare share of datagrams that are lost
+ * @property staleFor time for which the view of one process at a time is not updated
+ * @property isCut whether a process with a stale view exchanges no messages with the others either
+ * @property areAddressesKept whether a target that starts again with another version listens at the same address
+ */
+internal data class ResumptionTroubles(
+    val name: String,
+    val entries: Int = 5,
+    val runners: Int = 4,
+    val streamsPerSecond: Int = 40,
+    val kill: Kill = Kill.ONE_ENTRY,
+    val killPause: Duration = 4.seconds,
+    val lossShare: Double = 0.01,
+    val staleFor: Duration = Duration.ZERO,
+    val isCut: Boolean = false,
+    val areAddressesKept: Boolean = false,
+    val length: Duration = 50.seconds,
+)
+
+/** What a simulated run has shown. */
+internal class ResumptionOutcome {
+    var streams = 0
+    var begun = 0
+
+    /** Streams whose events come from several versions. */
+    val joined = ArrayList<String>()
+
+    /** Take-ups that an entry has decided. */
+    var takeUps = 0
+
+    /** Take-ups that were refused because it was unknown which version began the stream. */
+    var unknown = 0
+
+    /** Take-ups at entries that have run for long enough, of streams whose version has several targets. */
+    var possible = 0
+
+    /** Those of [possible] that went on. */
+    var continued = 0
+    var reports = 0
+    var queries = 0
+    var replies = 0
+
+    /** Share of [possible] that went on, divided by the share of new streams that began. */
+    val continuedShare: Double
+        get() = if (possible == 0) 1.0 else continued.toDouble() / possible * streams / begun
+
+    operator fun plusAssign(other: ResumptionOutcome) {
+        streams += other.streams
+        begun += other.begun
+        joined += other.joined
+        takeUps += other.takeUps
+        unknown += other.unknown
+        possible += other.possible
+        continued += other.continued
+        reports += other.reports
+        queries += other.queries
+        replies += other.replies
+    }
+
+    override fun toString(): String =
+        "%d streams, %d joined, %d take-ups, %.3f unknown, %d possible, %.3f of them continued, ".format(
+            streams,
+            joined.size,
+            takeUps,
+            if (takeUps == 0) 0.0 else unknown.toDouble() / takeUps,
+            possible,
+            continuedShare,
+        ) +
+            "per stream %.2f reports, %.2f queries, %.2f replies".format(
+                reports.toDouble() / streams,
+                queries.toDouble() / streams,
+                replies.toDouble() / streams,
+            )
+}
--- /dev/null
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/SimulatedFleet.kt
@@ -0,0 +1,130 @@
+package tanagerlane.resumption
+
+import tanagerlane.membership.Member
+import tanagerlane.message.HostRole
+import tanagerlane.model.FailureDomain
+import tanagerlane.model.HostName
+import tanagerlane.places.DirectTarget
+import tanagerlane.quarantine.VirtualTime
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/** What the store lists; states are [number]ed in their order. */
+internal class StoredState(
+    val number: Int,
+    val targets: List<DirectTarget>,
+    val members: List<Member>,
+)
+
+/** Processes that see the store with delays and exchange datagrams. */
+internal class SimulatedFleet(
+    private val troubles: ResumptionTroubles,
+    private val time: VirtualTime,
+    private val random: Random,
+    val outcome: ResumptionOutcome,
+) {
+    private val byHost = HashMap<HostName, SimulatedProcess>()
+    private var queries = 0L
+    private var hosts = 0
+    val now: Instant get() = time.now
+    val processes = ArrayList<SimulatedProcess>()
+    val entries: List<SimulatedProcess> get() = processes.filter { it.role == HostRole.ENTRY && it.isRunning }
+
+    var stored = StoredState(0, emptyList(), emptyList())
+        private set
+
+    /** Starts all processes with [targets] in service; if [isNew], none was in service before. */
+    fun start(
+        targets: List<DirectTarget>,
+        isNew: Boolean,
+    ) {
+        repeat(troubles.entries) { processes += process(HostRole.ENTRY, it) }
+        repeat(troubles.runners) { processes += process(HostRole.BATCH, it) }
+        stored = StoredState(1, targets, processes.map { it.member() })
+        for (process in processes) {
+            if (isNew) process.directory.versions.assumeNothingBefore()
+            process.see(stored)
+        }
+        time.every(OBSERVE_PAUSE) { processes.forEach { it.observe() } }
+    }
+
+    /** Stores a change, which each process sees with its own delay. */
+    fun publish(
+        targets: List<DirectTarget> = stored.targets,
+        members: List<Member> = stored.members,
+    ) {
+        val state = StoredState(stored.number + 1, targets, members)
+        stored = state
+        processes.forEach { after(MAXIMUM_VIEW_DELAY * random.nextDouble()) { it.see(state) } }
+    }
+
+    /** Kills [process], which starts again later; half of those do so under another host name. */
+    fun kill(process: SimulatedProcess) {
+        process.killedAt = now
+        after(RESTART_TIME * (1 + random.nextDouble())) {
+            val host = if (random.nextBoolean()) process.host else nextHost(process.role)
+            val started = SimulatedProcess(this, host, process.role, process.domain, now)
+            processes[processes.indexOf(process)] = started
+            byHost[host] = started
+            started.see(stored)
+            publish(members = stored.members.filter { it.host != host } + started.member())
+            if (host != process.host) {
+                after(LOST_TIMEOUT) { publish(members = stored.members.filter { it.host != process.host }) }
+            }
+        }
+    }
+
+    fun send(
+        from: SimulatedProcess,
+        to: HostName,
+        deliver: (SimulatedProcess) -> Unit,
+    ) {
+        if (from.isCut || random.nextDouble() < troubles.lossShare) {
+            return
+        }
+        after(1.milliseconds + MAXIMUM_LATENCY * random.nextDouble()) {
+            byHost[to]?.takeIf { it.isRunning && !it.isCut }?.let(deliver)
+        }
+    }
+
+    /** Returns whether [observer] has lately heard [host]. */
+    fun isReachable(
+        host: HostName,
+        observer: SimulatedProcess,
+    ): Boolean {
+        val process = byHost.getValue(host)
+        val isHeard = process.killedAt?.let { now - it < SILENCE_TIME } ?: !process.isCut
+        return isHeard && !observer.isCut && now - maxOf(observer.startedAt, process.startedAt) > CONTACT_TIME
+    }
+
+    fun nextQuery(): Long = ++queries
+
+    fun after(
+        pause: Duration,
+        action: () -> Unit,
+    ): Unit = time.after(pause, action)
+
+    private fun process(
+        role: HostRole,
+        index: Int,
+    ): SimulatedProcess {
+        val host = nextHost(role)
+        return SimulatedProcess(this, host, role, FailureDomain("d${index % DOMAINS}"), now).also { byHost[host] = it }
+    }
+
+    private fun nextHost(role: HostRole) = HostName("${role.name.lowercase()}-${hosts++}")
+
+    private companion object {
+        const val DOMAINS = 3
+        val OBSERVE_PAUSE = 500.milliseconds
+        val MAXIMUM_VIEW_DELAY = 1500.milliseconds
+        val MAXIMUM_LATENCY = 4.milliseconds
+        val RESTART_TIME = 1.seconds
+        val LOST_TIMEOUT = 12.seconds
+        val SILENCE_TIME = 500.milliseconds
+        val CONTACT_TIME = 300.milliseconds
+    }
+}
--- /dev/null
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/SimulatedProcess.kt
@@ -0,0 +1,152 @@
+package tanagerlane.resumption
+
+import tanagerlane.membership.Member
+import tanagerlane.message.HostRole
+import tanagerlane.message.OriginQuery
+import tanagerlane.message.OriginReply
+import tanagerlane.message.StreamOrigin
+import tanagerlane.model.FailureDomain
+import tanagerlane.model.HostName
+import tanagerlane.model.Incarnation
+import tanagerlane.model.RequestId
+import tanagerlane.model.ServiceName
+import tanagerlane.places.DirectTarget
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/** One incarnation of an entry or runner of [fleet]. */
+internal class SimulatedProcess(
+    private val fleet: SimulatedFleet,
+    val host: HostName,
+    val role: HostRole,
+    val domain: FailureDomain,
+    val startedAt: Instant,
+) {
+    val directory = OriginDirectory(host)
+    val runs = LinkedHashSet<SimulatedRun>()
+    private val open = HashMap<Long, OpenQuery>()
+    private var staleSince: Instant? = null
+
+    /** What this process has seen of the store. */
+    var view = StoredState(-1, emptyList(), emptyList())
+        private set
+
+    /** Time at which this process was killed, or null while it runs. */
+    var killedAt: Instant? = null
+    var isCut = false
+        private set
+    val isRunning: Boolean get() = killedAt == null
+    val isCurrent: Boolean get() = staleSince?.let { fleet.now - it <= MAXIMUM_TARGETS_AGE } ?: true
+
+    fun member() = Member(host, role, Incarnation(startedAt.toEpochMilliseconds()), domain, "10.0.0.1:7660")
+
+    fun see(state: StoredState) {
+        if (isRunning && staleSince == null && state.number > view.number) {
+            view = state
+            observe()
+        }
+    }
+
+    fun observe() {
+        if (isRunning) {
+            directory.observe(view.targets, fleet.now).forEach(::report)
+        }
+    }
+
+    /** Stops updates of the view for [time]; if [cut], no messages are exchanged either. */
+    fun beStale(
+        time: Duration,
+        cut: Boolean,
+    ) {
+        staleSince = fleet.now
+        isCut = cut
+        fleet.after(time) {
+            staleSince = null
+            isCut = false
+            see(fleet.stored)
+        }
+    }
+
+    fun began(
+        attempt: RequestId,
+        target: DirectTarget,
+    ) {
+        directory.began(attempt, target, fleet.now)?.let(::report)
+    }
+
+    private fun report(origin: StreamOrigin) {
+        for (keeper in OriginKeepers.told(origin.attempt, view.members, host)) {
+            fleet.outcome.reports++
+            fleet.send(this, keeper) { it.directory.received(listOf(origin), fleet.now) }
+        }
+    }
+
+    /** Passes what the keepers of the stream know to [done], or null if there are none. */
+    fun ask(
+        attempt: RequestId?,
+        service: ServiceName,
+        done: (Collection<OriginReply>?) -> Unit,
+    ) {
+        val asked = OriginKeepers.asked(attempt, view.members, host)
+        if (asked.isEmpty()) {
+            return done(null)
+        }
+        val expected = asked.filterTo(HashSet()) { fleet.isReachable(it, this) }.ifEmpty { asked.toSet() }
+        val query = OriginQuery(host, fleet.nextQuery(), attempt, service)
+        val pending = OpenQuery(expected, done)
+        open[query.query] = pending
+        asked.forEach { send(query, it) }
+        fleet.after(REPEAT_AFTER) { if (!pending.isDone) (asked - pending.replies.keys).forEach { send(query, it) } }
+        fleet.after(REPLY_TIMEOUT) {
+            open.remove(query.query)
+            pending.finish()
+        }
+    }
+
+    private fun send(
+        query: OriginQuery,
+        keeper: HostName,
+    ) {
+        if (isRunning) {
+            fleet.outcome.queries++
+            fleet.send(this, keeper) { it.received(query) }
+        }
+    }
+
+    private fun received(query: OriginQuery) {
+        val reply = directory.reply(query, isCurrent, fleet.now)
+        fleet.outcome.replies++
+        fleet.send(this, query.host) { it.open[reply.query]?.received(reply) }
+    }
+
+    private class OpenQuery(
+        private val expected: Set<HostName>,
+        private val done: (Collection<OriginReply>?) -> Unit,
+    ) {
+        val replies = LinkedHashMap<HostName, OriginReply>()
+        var isDone = false
+            private set
+
+        fun received(reply: OriginReply) {
+            if (!isDone) {
+                replies[reply.host] = reply
+                if (reply.origin != null || replies.keys.containsAll(expected)) finish()
+            }
+        }
+
+        fun finish() {
+            if (!isDone) {
+                isDone = true
+                done(replies.values)
+            }
+        }
+    }
+
+    private companion object {
+        val MAXIMUM_TARGETS_AGE = 3.seconds
+        val REPEAT_AFTER = 30.milliseconds
+        val REPLY_TIMEOUT = 100.milliseconds
+    }
+}
