Count the observed time of versions from the first listing with targets

Cause: the tick of a process records the targets in service from its start on, also before it has read any listing. A process that reads its first listing later than the lifetime of streams, as after a start during an outage of the object API, took the one version listed then for the only one of that whole time, and let streams of a version that had just left go on at it.

Change: VersionHistory is complete from the first observation that names a target.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/resumption/VersionHistory.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/resumption/VersionHistory.kt
@@ -19,7 +19,10 @@
         targets: Collection<DirectTarget>,
         now: Instant,
     ) {
-        completeSince = completeSince ?: now
+        // Before the first listing is read no targets are known at all.
+        if (targets.isNotEmpty()) {
+            completeSince = completeSince ?: now
+        }
         current = targets.associate { it.name to it.version }
         val ofServices = targets.groupBy({ it.service }, { it.version })
         mixedServices = ofServices.filterValues { it.toSet().size > 1 }.keys
