Bound the size of remembered attempts

Cause: OriginDirectory bounds the number of streams, but the id of an attempt is a header of a caller and may be as long as all headers together. While a service has one version, each resumption is remembered under the id that it names before it is sent to a target, so memory was bounded by the limit of headers only, times 20,000.

Change: an id with more than 100 characters is not remembered; without a record, the stream goes on only while one version is known.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/resumption/StreamOrigins.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/resumption/StreamOrigins.kt
@@ -18,12 +18,19 @@
 
     val size: Int get() = byAttempt.size
 
-    /** Remembers [origin], which is [StreamOrigin.age] old at [now]; an earlier one of the same attempt stays. */
+    /**
+     * Remembers [origin], which is [StreamOrigin.age] old at [now]; an earlier one of the same attempt stays.
+     *
+     * Ids of attempts are chosen by callers; one with more than [MAXIMUM_ATTEMPT_CHARACTERS] is ignored.
+     */
     fun record(
         origin: StreamOrigin,
         now: Instant,
         isOwn: Boolean,
     ) {
+        if (origin.attempt.text.length > MAXIMUM_ATTEMPT_CHARACTERS) {
+            return
+        }
         byAttempt.putIfAbsent(origin.attempt, Recorded(origin, now - origin.age, isOwn))
         if (byAttempt.size > maximum) {
             byAttempt.remove(byAttempt.keys.first())
@@ -57,4 +64,8 @@
     ) {
         fun at(now: Instant): StreamOrigin = origin.copy(age = (now - begunAt).coerceAtLeast(Duration.ZERO))
     }
+
+    private companion object {
+        const val MAXIMUM_ATTEMPT_CHARACTERS = 100
+    }
 }
