Do not leave a silent target for one that is held back after failures

Cause: the place elsewhere was sought among all targets but the silent one. Where the others are held back after failures, the load balancer selects one of them rather than none, so a stream left a target that would have gone on for one that was known to fail. With two attempts it was cut after the events that it had.

Change: PlacementRequest.avoidsHeld, with which such targets are never selected; OnlinePlaces.hold sets it.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/places/LoadBalancer.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/places/LoadBalancer.kt
@@ -133,7 +133,7 @@
         synchronized(lock) {
             val candidates =
                 selectable[request.service].orEmpty().filter(request.mayUse).ifEmpty { return Placement.NoTarget }
-            val paced = withPace(candidates, now)
+            val paced = withPace(candidates, now).filter { !request.avoidsHeld || it.decision < PaceDecision.HELD }
             val untried = paced.filter { it.target.name !in request.tried }.ifEmpty { paced }
             val mostPreferred = preferred(untried).ifEmpty { return Placement.Full }
             selections++
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlinePlaces.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlinePlaces.kt
@@ -67,7 +67,8 @@
         current: DirectTarget,
     ): HeldPlace? {
         val placement = request.placement(rules)
-        val elsewhere = placement.copy(mayUse = { it.name != current.name && placement.mayUse(it) })
+        val elsewhere =
+            placement.copy(mayUse = { it.name != current.name && placement.mayUse(it) }, avoidsHeld = true)
         val held = if (placeQueue != null) placeQueue.take(request, elsewhere) else take(elsewhere)
         request.heldPlace = held
         return held
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/SilentTargetTest.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/SilentTargetTest.kt
@@ -51,6 +51,22 @@
             }
         }
 
+        test("a request at a silent target does not leave it for one that is held back after failures") {
+            val site = SilentSite.start(vertx, targetCount = 2, silenceMilliseconds = 1200)
+            // Of two equal targets the first one is preferred.
+            val failing = site.targets.first()
+            failing.status = 500
+            withContext(Dispatchers.IO) {
+                // The backoff after the fifth failure, 3.2 s, is longer than the silence.
+                eventually(10.seconds) {
+                    RawCaller.send(site.entry.port, "/calls/other", "other")
+                    failing.runs.count { it.path == "/calls/other" } shouldBe 5
+                }
+            }
+            failing.isSilent = true
+            site.send("/streams/between-events", "id") shouldBe Outcome(runs = 1)
+        }
+
         listOf(1 to 1, 2 to 2).forEach { (targetCount, runs) ->
             test("an item at a target that is silent for 3 s is run $runs times if there are $targetCount targets") {
                 val site = SilentSite.start(vertx, targetCount, silenceMilliseconds = 3000)
@@ -88,7 +104,7 @@
 private class SilentSite(
     val deployment: FakeDeployment,
     val entry: StartedDaemon,
-    private val targets: List<FakeTarget>,
+    val targets: List<FakeTarget>,
 ) {
     /** Runs of the requests and items that are silent at first. */
     val runs get() = targets.flatMap { it.runs }.filter { it.path in silentPaths }
@@ -98,16 +114,21 @@
             val requests = SILENCES.flatMap { silence -> List(copies) { silence.path to "${silence.path}-$it" } }
             requests
                 .map { (path, id) ->
-                    async(Dispatchers.IO) {
-                        val answer = RawCaller.send(entry.port, path, id, body = id)
-                        val events = eventNumber.findAll(answer?.body.orEmpty()).map { it.groupValues[1].toInt() }
-                        val runsOfRequest = runs.count { it.body == id }
-                        id to Outcome(answer?.status, events.toList(), answer?.isWhole == true, runsOfRequest)
-                    }
+                    async { id to send(path, id) }
                 }.awaitAll()
                 .toMap()
         }
 
+    suspend fun send(
+        path: String,
+        id: String,
+    ): Outcome =
+        withContext(Dispatchers.IO) {
+            val answer = RawCaller.send(entry.port, path, id, body = id)
+            val events = eventNumber.findAll(answer?.body.orEmpty()).map { it.groupValues[1].toInt() }
+            Outcome(answer?.status, events.toList(), answer?.isWhole == true, runs.count { it.body == id })
+        }
+
     data class Silence(
         val path: String,
         val end: EarlyEnd,
