--- a/tanagerlane-core/src/main/kotlin/tanagerlane/resumption/VersionHistory.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/resumption/VersionHistory.kt
@@ -20,7 +20,10 @@
         targets: Collection<DirectTarget>,
         now: Instant,
     ) {
-        completeSince = completeSince ?: now
+        // Before the first listing is read no targets are known at all.
+        if (targets.isNotEmpty()) {
+            completeSince = completeSince ?: now
+        }
         current = targets.associate { it.name to it.version }
         // Versions that are gone now may have been in service until now.
         ofServices.forEach { (service, versions) -> record(service, versions, now) }
