Refuse streams of unknown origin when any process asked has seen another version

Found by ResumptionSimulation: a caller that does not name its attempt, at an entry that does not see the new version yet. A peer that had seen both versions replied as one that knows nothing.

Also from the review: a stream whose version has left is refused before it waits in the queue; one whose version is full leaves the order of all others once several versions are in service, since it held up requests with a place at another one; streams that have begun wait for their version however many do.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/resumption/OriginDirectory.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/resumption/OriginDirectory.kt
@@ -98,6 +98,7 @@
             query = query.query,
             origin = query.attempt?.let { find(it, now) },
             soleVersion = if (isCurrent) versions.soleVersion(query.service, lifetime, now) else null,
+            versions = versions.versions(query.service, lifetime, now).take(MAXIMUM_TOLD_VERSIONS),
         )
 
     /** Returns where the stream of [attempt] began if this process knows, or null. */
@@ -133,7 +134,7 @@
         }
         val own = if (isCurrent && !isIsolated) versions.soleVersion(service, lifetime, now) else null
         val told = replies.mapNotNullTo(HashSet()) { it.soleVersion }
-        val seen = versions.versions(service, lifetime, now)
+        val seen = versions.versions(service, lifetime, now) + replies.flatMap { it.versions }
         val version = (told + listOfNotNull(own)).singleOrNull()?.takeIf { (seen - it).isEmpty() }
         if (version == null) {
             return Resumption.Unknown
@@ -155,6 +156,9 @@
     private companion object {
         /** A caller may use up the timeout of its route in each of its attempts, of which the first brought no event. */
         const val ATTEMPT_TIMES = 2
+
+        /** Versions that fit into a reply; with any two of them a stream of unknown origin is refused. */
+        const val MAXIMUM_TOLD_VERSIONS = 4
         val UNNAMED = RequestId("")
         val MINIMUM_LIFETIME = 10.seconds
 
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/PlaceQueue.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/PlaceQueue.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.get
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
@@ -50,6 +51,9 @@
         if (request.triedTargets.isEmpty()) {
             queue.arrived(wanted, now())
         }
+        if (request.origin != null && placeFor(request) == Placement.NoTarget) {
+            return Err(RefusalReason.NO_TARGET)
+        }
         val isBound = rules.isBound(request)
         if (isBound || queue.mayPass(wanted, { free(request.service) }, now())) {
             when (val placement = placeFor(request)) {
@@ -166,12 +170,27 @@
                 }
 
                 Placement.Full -> {
-                    return
+                    if (!rules.isBound(waiter.request)) return
+                    waitForVersion(waiter)
                 }
             }
         }
     }
 
+    /** Takes [waiter], whose version is full while others may not be, out of the order of all others. */
+    private fun waitForVersion(waiter: Waiter) {
+        queue.remove(waiter.wanted)
+        waiters.remove(waiter.wanted.number)
+        scope.launch {
+            val outcome = versionWaiters.await(waiter.request, waiter.wanted)
+            waiter.place = outcome.get()
+            if (!waiter.outcome.complete(outcome)) {
+                waiter.place?.let(::giveBack)
+            }
+        }
+        startTicking()
+    }
+
     private fun refuse(refused: WaitingDecision.Refused) {
         waiters.remove(refused.request.number)?.refuse(refused)
     }
@@ -183,7 +202,9 @@
             metrics.waited("left", now() - waiter.since)
             return
         }
-        waiter.place?.let { leave(it.target, waiter.wanted, isRejected = false, hasAnswered = false) }
+        // A place that it is given later is given back at once.
+        waiter.outcome.cancel()
+        waiter.place?.let(::giveBack)
     }
 
     private fun occupy(
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/VersionWaiters.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/VersionWaiters.kt
@@ -36,7 +36,7 @@
         request: OnlineRequest,
         wanted: WaitingRequest,
     ): Result<HeldPlace, RefusalReason> {
-        if (waiters.size >= MAXIMUM_WAITERS) {
+        if (wanted.mayRefuse && waiters.size >= MAXIMUM_WAITERS) {
             return Err(RefusalReason.OVERLOADED)
         }
         val waiter = Waiter(request, wanted)
@@ -91,7 +91,7 @@
     }
 
     private companion object {
-        /** Most that wait at a time; each is looked at whenever a place becomes free. */
+        /** Waiting streams from which on those that can be refused as not run do not wait. */
         const val MAXIMUM_WAITERS = 100
     }
 }
