--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeDeployment.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeDeployment.kt
@@ -98,8 +98,7 @@
 
     /** Removes the registration of the target [name]. */
     suspend fun deregister(name: String) {
-        val key = ObjectKey("targets/$name")
-        store.get(key).get()?.let { store.delete(key, it.version) }
+        store.get(ObjectKey("targets/$name")).get()?.let { store.delete(it.key, it.version) }
     }
 
     /** Puts a configuration in force that has the routes which [change] makes of those at the start. */
