--- a/tanagerlane-core/src/main/kotlin/tanagerlane/resumption/OriginDirectory.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/resumption/OriginDirectory.kt
@@ -162,7 +162,7 @@
         val UNNAMED = RequestId("")
         val MINIMUM_LIFETIME = 10.seconds
 
-        /** Streams that are remembered; each takes about 300 bytes. */
+        /** Streams that are remembered. */
         const val MAXIMUM_STREAMS = 20_000
     }
 }
