Disturb streams of JoinedVersionsProcessTest in their middle

Cause: the disturbance came 500 ms after the requests were sent, whether streams had begun or not (the condition before that, that all 20 callers have events, cannot hold with 16 places). On a busy machine (load 12 on 8 cores) no stream was in progress in 3 of 5 cases, so that they failed at "streams that were taken up", without a statement about versions. Change: each entry serves a stream first, and the disturbance waits until half of the callers at each entry are between events 5 and 30.

--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/VersionsSite.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/VersionsSite.kt
@@ -66,9 +66,18 @@
             }
         }
         delay(1.seconds)
+        // Classes are loaded in the first request, which would keep streams of one entry from beginning with the others.
+        coroutineScope {
+            entries.indices
+                .map { StreamCaller("first-$it", portsFor(it), repeatsEntry = true, client) }
+                .map { async { it.receive() } }
+        }
     }
 
-    /** Lets [count] callers receive streams at once and calls [disturb] in the middle; returns them once all are done. */
+    /**
+     * Lets [count] callers receive streams at once and calls [disturb] once half of those at each entry are in the middle
+     * of their streams; returns them once all are done.
+     */
     suspend fun stream(
         count: Int,
         disturb: suspend () -> Unit,
@@ -81,13 +90,18 @@
                 }
             val calls = callers.map { async { it.receive() } }
             withTimeoutOrNull(START_TIME) {
-                while (callers.any { it.events.size < FIRST_EVENTS }) delay(POLL)
+                val ofEntries = callers.withIndex().groupBy({ it.index % entries.size }, { it.value }).values
+                while (!ofEntries.all(::areInTheMiddle)) delay(POLL)
             }
             disturb()
             calls.awaitAll()
             callers
         }
 
+    /** Returns whether half of [callers] are in the middle of their streams. */
+    private fun areInTheMiddle(callers: List<StreamCaller>): Boolean =
+        callers.count { it.events.size in MIDDLE } * 2 >= callers.size
+
     /** Returns the ports of all entries in the order in which the caller with this [index] tries them. */
     private fun portsFor(index: Int): List<Int> {
         val ports = entries.map { it.port }
@@ -143,12 +157,12 @@
     companion object {
         const val EVENTS = 40
         private const val PAUSE_MILLISECONDS = 20L
-        private const val FIRST_EVENTS = 5
+        private val MIDDLE = 5..30
         private const val READY = 200
         private const val SHOWN_CHARACTERS = 4_000
         private val CHECK_TIME = 1.seconds
         private val READY_TIME = 20.seconds
-        private val START_TIME = 500.milliseconds
+        private val START_TIME = 5.seconds
         private val POLL = 5.milliseconds
     }
 }
