Let processes tell each other which versions were in service before they started

What callers saw: in a young deployment, or soon after processes had started, streams were refused as not resumable though their service had one version only, once the one process that knew so was lost. Cause: a process vouches for "one version only" after it has observed the targets for a lifetime of a stream, or if it found no other process registered. In a deployment younger than that only the first process does. Change: a process asks three others about each service whose earlier versions it does not know, at growing pauses up to 2 s, and vouches from then on for what it was told, if it has observed the targets ever since. Replies carry the period that they cover and the age of the sender's view; an earlier release sends neither, and nothing is taken over from it. A version told for a shorter period than streams last does not count any more. In ResumptionSimulation only one process knows that the deployment is new, and processes ask as in the product, which changes its random draws.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/resumption/OriginDirectory.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/resumption/OriginDirectory.kt
@@ -6,6 +6,7 @@
 import tanagerlane.model.HostName
 import tanagerlane.model.RequestId
 import tanagerlane.model.ServiceName
+import tanagerlane.model.SoftwareVersion
 import tanagerlane.places.DirectTarget
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -87,11 +88,13 @@
      * Returns what this process knows about [query].
      *
      * @param isCurrent whether the targets in service are known as of lately
+     * @param age time since they were last confirmed, or null before that
      */
     public fun reply(
         query: OriginQuery,
         isCurrent: Boolean,
         now: Instant,
+        age: Duration? = null,
     ): OriginReply =
         OriginReply(
             host = own,
@@ -99,8 +102,35 @@
             origin = query.attempt?.let { find(it, now) },
             soleVersion = if (isCurrent) versions.soleVersion(query.service, lifetime, now) else null,
             versions = versions.versions(query.service, lifetime, now).take(MAXIMUM_TOLD_VERSIONS),
+            period = lifetime,
+            age = age,
         )
 
+    /** Returns services of which other processes may know whether they had another version than now. */
+    public fun unknownServices(now: Instant): Set<ServiceName> = versions.unknownSince(now - lifetime)
+
+    /**
+     * Takes over from [replies] that [service] had one version only, so that this process tells others in turn.
+     *
+     * The processes that know may all be lost before a stream is resumed.
+     *
+     * @param askedAt time of the query
+     */
+    public fun learn(
+        service: ServiceName,
+        replies: Collection<OriginReply>,
+        askedAt: Instant,
+        now: Instant,
+    ) {
+        val version = soleVersion(service, replies, own = null, now) ?: return
+        for (reply in replies) {
+            val age = reply.age ?: continue
+            if (reply.soleVersion == version) {
+                versions.told(service, version, since = askedAt - age - lifetime, until = askedAt - age)
+            }
+        }
+    }
+
     /** Returns where the stream of [attempt] began if this process knows, or null. */
     public fun find(
         attempt: RequestId,
@@ -133,12 +163,7 @@
             return Resumption.Unknown
         }
         val own = if (isCurrent && !isIsolated) versions.soleVersion(service, lifetime, now) else null
-        val told = replies.mapNotNullTo(HashSet()) { it.soleVersion }
-        val seen = versions.versions(service, lifetime, now) + replies.flatMap { it.versions }
-        val version = (told + listOfNotNull(own)).singleOrNull()?.takeIf { (seen - it).isEmpty() }
-        if (version == null) {
-            return Resumption.Unknown
-        }
+        val version = soleVersion(service, replies, own, now) ?: return Resumption.Unknown
         val origin = StreamOrigin(attempt ?: UNNAMED, service, version)
         attempt?.let { origins.record(origin, now, isOwn = true) }
         return Resumption.At(origin, if (own != null) OriginSource.SOLE_VERSION else OriginSource.PEER_SOLE_VERSION)
@@ -148,6 +173,18 @@
     public fun isDoubtful(origin: StreamOrigin): Boolean =
         origin.target?.let(versions::versionOf)?.let { it != origin.version } ?: false
 
+    /** Returns the version that [own] and [replies] name if it is only one, and nobody has seen another one. */
+    private fun soleVersion(
+        service: ServiceName,
+        replies: Collection<OriginReply>,
+        own: SoftwareVersion?,
+        now: Instant,
+    ): SoftwareVersion? {
+        val told = replies.filter { (it.period ?: lifetime) >= lifetime }.mapNotNullTo(HashSet()) { it.soleVersion }
+        val seen = versions.versions(service, lifetime, now) + replies.flatMap { it.versions }
+        return (told + listOfNotNull(own)).singleOrNull()?.takeIf { (seen - it).isEmpty() }
+    }
+
     private fun isMixed(
         service: ServiceName,
         now: Instant,
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/resumption/VersionHistory.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/resumption/VersionHistory.kt
@@ -7,13 +7,14 @@
 import kotlin.time.Duration
 import kotlin.time.Instant
 
-/** Which software versions the targets of each service had, and until when, as this process has seen. Not thread-safe. */
+/** Which software versions the targets of each service had, and until when, as this process knows. Not thread-safe. */
 public class VersionHistory {
     private val lastSeen = HashMap<ServiceName, HashMap<SoftwareVersion, Instant>>()
     private var current: Map<TargetName, SoftwareVersion> = emptyMap()
     private var ofServices: Map<ServiceName, Set<SoftwareVersion>> = emptyMap()
     private var mixedServices: Set<ServiceName> = emptySet()
     private var completeSince: Instant? = null
+    private val toldSince = HashMap<ServiceName, Instant>()
 
     /** Records the [targets] that are in service at [now], including those that are leaving. */
     public fun observe(
@@ -37,6 +38,27 @@
         completeSince = Instant.DISTANT_PAST
     }
 
+    /**
+     * Records that another process knows of no version of [service] but [version] from [since] to [until].
+     *
+     * It counts only if this process has observed the targets ever after, so that nothing is unknown in between.
+     */
+    public fun told(
+        service: ServiceName,
+        version: SoftwareVersion,
+        since: Instant,
+        until: Instant,
+    ) {
+        if (completeSince?.let { it <= until } == true) {
+            record(service, setOf(version), until)
+            toldSince.merge(service, since, ::minOf)
+        }
+    }
+
+    /** Returns services with one version in service of which it is not known whether they had another one since [time]. */
+    public fun unknownSince(time: Instant): Set<ServiceName> =
+        ofServices.keys.filterTo(HashSet()) { lastSeen[it]?.size == 1 && !isObserved(it, time) }
+
     /** Forgets versions that were not in service after [time]. */
     public fun forgetBefore(time: Instant) {
         lastSeen.values.forEach { versions -> versions.values.removeIf { it < time } }
@@ -55,10 +77,7 @@
         service: ServiceName,
         period: Duration,
         now: Instant,
-    ): SoftwareVersion? {
-        val isObserved = completeSince?.let { it <= now - period } ?: false
-        return if (isObserved) versions(service, period, now).singleOrNull() else null
-    }
+    ): SoftwareVersion? = if (isObserved(service, now - period)) versions(service, period, now).singleOrNull() else null
 
     /** Returns whether targets of several versions of [service] are in service now. */
     public fun hasSeveral(service: ServiceName): Boolean = service in mixedServices
@@ -66,12 +85,17 @@
     /** Returns the version of [target], or null if it is not in service. */
     public fun versionOf(target: TargetName): SoftwareVersion? = current[target]
 
+    private fun isObserved(
+        service: ServiceName,
+        time: Instant,
+    ): Boolean = listOfNotNull(completeSince, toldSince[service]).any { it <= time }
+
     private fun record(
         service: ServiceName,
         versions: Set<SoftwareVersion>,
-        now: Instant,
+        time: Instant,
     ) {
         val seen = lastSeen.getOrPut(service) { HashMap() }
-        versions.forEach { seen[it] = now }
+        versions.forEach { seen.merge(it, time, ::maxOf) }
     }
 }
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/OriginDirectoryTest.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/OriginDirectoryTest.kt
@@ -73,6 +73,12 @@
             ),
             ResolveCase("told to a fresh process", fresh("v1"), SOLE_TOLD, listOf(reply(), reply(sole = "v1"))),
             ResolveCase("told to a process without targets", fresh(), SOLE_TOLD, listOf(reply(sole = "v1"))),
+            ResolveCase(
+                "told for a shorter time than streams last",
+                fresh("v1"),
+                UNKNOWN,
+                listOf(reply(sole = "v1").copy(period = 9.seconds)),
+            ),
             ResolveCase("several told", fresh(), UNKNOWN, listOf(reply(sole = "v1"), reply(sole = "v2"))),
             ResolveCase("nothing told to a fresh process", fresh("v1"), UNKNOWN, listOf(reply(), reply())),
         ).forEach { case ->
@@ -98,6 +104,7 @@
                         QUERY.query,
                         soleVersion = version("v1").takeIf { isCurrent },
                         versions = listOf(version("v1")),
+                        period = 10.seconds,
                     )
             }
         }
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/SimulatedFleet.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/SimulatedFleet.kt
@@ -44,11 +44,20 @@
         repeat(troubles.entries) { processes += process(HostRole.ENTRY, it) }
         repeat(troubles.runners) { processes += process(HostRole.BATCH, it) }
         stored = StoredState(1, targets, processes.map { it.member() })
-        for (process in processes) {
-            if (isNew) process.directory.versions.assumeNothingBefore()
-            process.see(stored)
+        // Only the process that registers first finds no other one registered.
+        if (isNew) {
+            processes
+                .random(random)
+                .directory.versions
+                .assumeNothingBefore()
+        }
+        processes.forEach { it.see(stored) }
+        time.every(OBSERVE_PAUSE) {
+            processes.forEach {
+                it.observe()
+                it.learnVersions()
+            }
         }
-        time.every(OBSERVE_PAUSE) { processes.forEach { it.observe() } }
     }
 
     /** Stores a change, which each process sees with its own delay. */
@@ -100,6 +109,17 @@
         return isHeard && !observer.isCut && now - maxOf(observer.startedAt, process.startedAt) > CONTACT_TIME
     }
 
+    /** Returns up to [count] processes that [observer] has lately heard. */
+    fun someReachable(
+        observer: SimulatedProcess,
+        count: Int,
+    ): List<HostName> =
+        processes
+            .filter { it != observer && it.isRunning && isReachable(it.host, observer) }
+            .shuffled(random)
+            .take(count)
+            .map { it.host }
+
     fun nextQuery(): Long = ++queries
 
     fun after(
@@ -117,14 +137,16 @@
 
     private fun nextHost(role: HostRole) = HostName("${role.name.lowercase()}-${hosts++}")
 
-    private companion object {
-        const val DOMAINS = 3
-        val OBSERVE_PAUSE = 500.milliseconds
+    companion object {
+        private const val DOMAINS = 3
+        private val OBSERVE_PAUSE = 500.milliseconds
+
+        /** Longest time after which a process sees a change of the store. */
         val MAXIMUM_VIEW_DELAY = 1500.milliseconds
-        val MAXIMUM_LATENCY = 4.milliseconds
-        val RESTART_TIME = 1.seconds
-        val LOST_TIMEOUT = 12.seconds
-        val SILENCE_TIME = 500.milliseconds
-        val CONTACT_TIME = 300.milliseconds
+        private val MAXIMUM_LATENCY = 4.milliseconds
+        private val RESTART_TIME = 1.seconds
+        private val LOST_TIMEOUT = 12.seconds
+        private val SILENCE_TIME = 500.milliseconds
+        private val CONTACT_TIME = 300.milliseconds
     }
 }
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/SimulatedProcess.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/SimulatedProcess.kt
@@ -90,9 +90,25 @@
         done: (Collection<OriginReply>?) -> Unit,
     ) {
         val asked = OriginKeepers.asked(attempt, view.members, host)
-        if (asked.isEmpty()) {
-            return done(null)
+        if (asked.isEmpty()) done(null) else ask(asked, attempt, service, done)
+    }
+
+    /** Asks a few processes about services of whose earlier versions this one does not know. */
+    fun learnVersions() {
+        if (!isRunning) return
+        for (service in directory.unknownServices(fleet.now)) {
+            val asked = fleet.someReachable(this, ASKED_ABOUT_VERSIONS).ifEmpty { return }
+            val askedAt = fleet.now
+            ask(asked, null, service) { directory.learn(service, it.orEmpty(), askedAt, fleet.now) }
         }
+    }
+
+    private fun ask(
+        asked: List<HostName>,
+        attempt: RequestId?,
+        service: ServiceName,
+        done: (Collection<OriginReply>?) -> Unit,
+    ) {
         val expected = asked.filterTo(HashSet()) { fleet.isReachable(it, this) }.ifEmpty { asked.toSet() }
         val query = OriginQuery(host, fleet.nextQuery(), attempt, service)
         val pending = OpenQuery(expected, done)
@@ -116,7 +132,10 @@
     }
 
     private fun received(query: OriginQuery) {
-        val reply = directory.reply(query, isCurrent, fleet.now)
+        // A view that is updated is seen with a delay.
+        val age =
+            staleSince?.let { fleet.now - it + SimulatedFleet.MAXIMUM_VIEW_DELAY } ?: SimulatedFleet.MAXIMUM_VIEW_DELAY
+        val reply = directory.reply(query, isCurrent, fleet.now, age)
         fleet.outcome.replies++
         fleet.send(this, query.host) { it.open[reply.query]?.received(reply) }
     }
@@ -148,5 +167,6 @@
         val MAXIMUM_TARGETS_AGE = 3.seconds
         val REPEAT_AFTER = 30.milliseconds
         val REPLY_TIMEOUT = 100.milliseconds
+        const val ASKED_ABOUT_VERSIONS = 3
     }
 }
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
@@ -341,6 +341,7 @@
         registration = loops.launch("membership") { membership.run(memberOf(bound)) }
         loops.launch("reports", placeReports::run)
         loops.launch("crash reports", promptGuard::run)
+        loops.launch("versions", resumption::learnVersions)
         loops.launch("ticks", ::tickLoop)
         if (!isRunner) {
             loops.launch("processor delay") { processorDelay.run(DELAY_CHECK_INTERVAL, clock::now) }
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/StreamResumption.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/StreamResumption.kt
@@ -1,7 +1,6 @@
 package tanagerlane.direct
 
-import kotlinx.coroutines.CompletableDeferred
-import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.coroutines.delay
 import org.slf4j.LoggerFactory
 import tanagerlane.message.OriginQuery
 import tanagerlane.message.OriginReply
@@ -9,13 +8,13 @@
 import tanagerlane.message.StreamOrigin
 import tanagerlane.model.HostName
 import tanagerlane.model.RequestId
+import tanagerlane.model.ServiceName
 import tanagerlane.places.DirectTarget
 import tanagerlane.resumption.OriginDirectory
 import tanagerlane.resumption.OriginKeepers
 import tanagerlane.resumption.Resumption
 import tanagerlane.serving.RouteKind
 import tanagerlane.serving.ServingConfiguration
-import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -33,11 +32,7 @@
     private val now: () -> Instant,
 ) {
     private val directory = OriginDirectory(fleet.ownHost)
-    private val open = HashMap<Long, OpenQuery>()
-
-    /** Starts anywhere, so that a late reply to an earlier instance of this process answers no query of this one. */
-    private var lastQuery = Random.nextLong()
-
+    private val queries = OriginQueries(fleet)
     private val isCurrent: Boolean get() = targetsAge()?.let { it <= MAXIMUM_TARGETS_AGE } ?: false
 
     /** Records that no process was registered when this one started, so that no stream began before. */
@@ -84,7 +79,7 @@
         val attempt = request.exchange.resumedAttempt?.let(::RequestId)
         val service = request.route.serviceFor(attempt ?: RequestId(request.id)) ?: request.service
         val known = attempt?.let { directory.find(it, now()) }
-        val replies = if (known == null) ask(OriginQuery(fleet.ownHost, ++lastQuery, attempt, service)) else null
+        val replies = if (known == null) ask(attempt, service) else null
         val isIsolated = replies?.isEmpty() ?: false
         val resumption = directory.resolve(attempt, service, replies.orEmpty(), isCurrent, now(), isIsolated)
         val resumed = resumption as? Resumption.At
@@ -114,11 +109,31 @@
     fun received(report: OriginReport): Unit = directory.received(report.origins, now())
 
     /** Answers [query] of another process. */
-    fun received(query: OriginQuery): Unit = fleet.send(listOf(query.host), directory.reply(query, isCurrent, now()))
-
-    /** Passes [reply] to the query that it answers; a late or repeated reply is ignored. */
-    fun received(reply: OriginReply) {
-        open[reply.query]?.received(reply)
+    fun received(query: OriginQuery): Unit =
+        fleet.send(listOf(query.host), directory.reply(query, isCurrent, now(), targetsAge()))
+
+    /** Passes [reply] to the query that it answers. */
+    fun received(reply: OriginReply): Unit = queries.received(reply)
+
+    /**
+     * Asks other processes which versions were in service before this one started, until it knows or has observed the
+     * targets for long enough itself.
+     */
+    suspend fun learnVersions() {
+        var pause = MINIMUM_LEARNING_PAUSE
+        while (true) {
+            delay(pause)
+            pause = minOf(pause * LEARNING_PAUSE_GROWTH, MAXIMUM_LEARNING_PAUSE)
+            for (service in directory.unknownServices(now())) {
+                val asked =
+                    fleet.reachable
+                        .shuffled()
+                        .take(ASKED_ABOUT_VERSIONS)
+                        .ifEmpty { break }
+                val askedAt = now()
+                directory.learn(service, queries.ask(asked, attempt = null, service), askedAt, now())
+            }
+        }
     }
 
     private fun report(origins: List<StreamOrigin>) {
@@ -133,49 +148,25 @@
         }
     }
 
-    /** Asks the keepers of the stream; returns the replies up to the first with its origin, or null without keepers. */
-    private suspend fun ask(query: OriginQuery): Collection<OriginReply>? {
-        val asked = OriginKeepers.asked(query.attempt, fleet.members, fleet.ownHost)
-        if (asked.isEmpty()) {
-            return null
-        }
-        val expected = asked.filterTo(HashSet()) { it in fleet.reachable }.ifEmpty { asked.toSet() }
-        val pending = OpenQuery(expected)
-        open[query.query] = pending
-        try {
-            fleet.send(asked, query)
-            withTimeoutOrNull(REPEAT_AFTER) { pending.isDone.await() }
-                ?: withTimeoutOrNull(REPLY_TIMEOUT - REPEAT_AFTER) {
-                    fleet.send(asked - pending.replies.keys, query)
-                    pending.isDone.await()
-                }
-        } finally {
-            open.remove(query.query)
-        }
-        return pending.replies.values
-    }
-
-    private class OpenQuery(
-        private val expected: Set<HostName>,
-    ) {
-        val replies = HashMap<HostName, OriginReply>()
-        val isDone = CompletableDeferred<Unit>()
-
-        fun received(reply: OriginReply) {
-            replies[reply.host] = reply
-            if (reply.origin != null || replies.keys.containsAll(expected)) {
-                isDone.complete(Unit)
-            }
-        }
-    }
+    /** Returns what the keepers of the stream reply, or null without keepers. */
+    private suspend fun ask(
+        attempt: RequestId?,
+        service: ServiceName,
+    ): Collection<OriginReply>? =
+        OriginKeepers
+            .asked(attempt, fleet.members, fleet.ownHost)
+            .takeIf { it.isNotEmpty() }
+            ?.let { queries.ask(it, attempt, service) }
 
     private companion object {
         /** Age up to which the targets in service tell that there is one version only. */
         val MAXIMUM_TARGETS_AGE = 3.seconds
 
-        /** Time after which a query is sent again to those that have not replied. */
-        val REPEAT_AFTER = 30.milliseconds
-        val REPLY_TIMEOUT = 100.milliseconds
+        /** Processes that are asked about each service at a time; they tell others in turn. */
+        const val ASKED_ABOUT_VERSIONS = 3
+        val MINIMUM_LEARNING_PAUSE = 250.milliseconds
+        val MAXIMUM_LEARNING_PAUSE = 2.seconds
+        const val LEARNING_PAUSE_GROWTH = 1.3
 
         /** Streams that fit into a datagram. */
         const val ORIGINS_PER_REPORT = 10
