Wait longer for the first reply about a resumed stream

Cause: a query ended after 100 ms, which replies take while the asking or the replying process still loads classes. Change: while no process has replied the query is sent again and waited for up to 300 ms in all. With one reply it ends after 100 ms as before.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OriginQueries.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OriginQueries.kt
@@ -20,7 +20,9 @@
     private var lastQuery = Random.nextLong()
 
     /**
-     * Returns the replies of [asked] up to the first one with an origin, or those that have come after [REPLY_TIMEOUT].
+     * Returns the replies of [asked] up to the first one with an origin.
+     *
+     * Waits for all of them for 100 ms, and for the first one for 300 ms, as processes that have just started reply late.
      *
      * @param attempt attempt that brought the first event of a stream, or null to ask about [service] only
      */
@@ -34,12 +36,16 @@
         val pending = OpenQuery(expected)
         open[query.query] = pending
         try {
-            fleet.send(asked, query)
-            withTimeoutOrNull(REPEAT_AFTER) { pending.isDone.await() }
-                ?: withTimeoutOrNull(REPLY_TIMEOUT - REPEAT_AFTER) {
-                    fleet.send(asked - pending.replies.keys, query)
-                    pending.isDone.await()
-                }
+            for (pause in PAUSES) {
+                fleet.send(asked - pending.replies.keys, query)
+                withTimeoutOrNull(pause) { pending.isDone.await() }
+                if (pending.isDone.isCompleted) break
+            }
+            for (pause in PAUSES_WITHOUT_REPLY) {
+                if (pending.replies.isNotEmpty()) break
+                fleet.send(asked, query)
+                withTimeoutOrNull(pause) { pending.isDone.await() }
+            }
         } finally {
             open.remove(query.query)
         }
@@ -66,8 +72,10 @@
     }
 
     private companion object {
-        /** Time after which a query is sent again to those that have not replied. */
-        val REPEAT_AFTER = 30.milliseconds
-        val REPLY_TIMEOUT = 100.milliseconds
+        /** Pauses after each of which a query is sent again to those that have not replied. */
+        val PAUSES = listOf(30.milliseconds, 70.milliseconds)
+
+        /** Further pauses while nobody has replied. */
+        val PAUSES_WITHOUT_REPLY = listOf(100.milliseconds, 100.milliseconds)
     }
 }
