Keep suspected requests at silent targets whole

Cause: PlaceElsewhere asked whether a request was suspected before the request was identified, and took a place elsewhere; OnlineHandler asked once more, after the quarantine had identified it, and gave up. So a stream was cut because its target was silent, once two other targets had crashed under the same request while it ran. Change: PromptGuard identifies a request when it is asked whether it is suspected and there is evidence about any request, as it does for the quarantine.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/PromptGuard.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/PromptGuard.kt
@@ -51,7 +51,8 @@
     }
 
     /** Whether so many targets have crashed while they ran [request] that it should not be sent to another one. */
-    fun isSuspected(request: OnlineRequest): Boolean = request.digest?.let(quarantine::isSuspected) == true
+    fun isSuspected(request: OnlineRequest): Boolean =
+        quarantine.hasRequestEvidence && quarantine.isSuspected(request.identify())
 
     /** Records that a target has written an event of an answer to a request with the shared [parts]. */
     fun answered(parts: List<PromptPart>): Unit = quarantine.answered(parts, now())
