Let callers leave silent targets when their requests go on elsewhere

Cause: in the cases of callers that leave, the silence ended when they left, so that only some of their requests held a place elsewhere by then. Change: the silence lasts for 1.2 s there, and the callers leave up to 50 ms after the time at which a place elsewhere is taken.

--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/SilentVersionsTest.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/SilentVersionsTest.kt
@@ -71,23 +71,26 @@
             }
         }
 
-        val endings: Map<String, suspend (SilentScene, Long) -> Unit> =
-            mapOf(
-                "the callers leave" to { scene, milliseconds -> scene.callAndLeave(milliseconds) },
-                "the silent target goes on" to { scene, _ -> scene.send("short") },
-            )
-        for (milliseconds in listOf(460L, 500L, 540L)) {
-            for ((name, end) in endings) {
-                test("all places are free again when $name after $milliseconds ms") {
-                    val scene = SilentScene(vertx, situations.last(), milliseconds).also { it.start(this) }
-                    List(3) { async(Dispatchers.IO) { end(scene, milliseconds) } }.awaitAll()
-                    eventually(5.seconds) {
-                        val statuses =
-                            List(
-                                SilentScene.CAPACITY * 3,
-                            ) { async { scene.call("long")?.status } }.awaitAll()
-                        statuses shouldBe List(SilentScene.CAPACITY * 3) { 200 }
-                    }
+        data class Ending(
+            val name: String,
+            val silenceMilliseconds: Long,
+            val act: suspend (SilentScene) -> Unit,
+        )
+        val goings =
+            listOf(490L, 500L, 510L).map {
+                Ending("the silent target goes on after $it ms", it) { scene -> scene.send("short") }
+            }
+        val leavings =
+            listOf(510L, 530L, 550L).map {
+                Ending("the callers leave after $it ms", 1200) { scene -> scene.callAndLeave(it) }
+            }
+        for (ending in goings + leavings) {
+            test("all places are free again when ${ending.name}") {
+                val scene = SilentScene(vertx, situations.last(), ending.silenceMilliseconds).also { it.start(this) }
+                List(3) { async(Dispatchers.IO) { ending.act(scene) } }.awaitAll()
+                eventually(5.seconds) {
+                    val statuses = List(SilentScene.CAPACITY * 3) { async { scene.call("long")?.status } }.awaitAll()
+                    statuses shouldBe List(SilentScene.CAPACITY * 3) { 200 }
                 }
             }
         }
