Vouch for told versions only over the period that was told

Cause: OriginDirectory.learn counted what a reply tells from the age of its targets and the own lifetime of a stream, which is longer than the reply's period by that age, or by any time if another reply decides about the version. Change: the time told starts one period of the reply before now; replies without a period, from earlier releases, are not counted.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/resumption/OriginDirectory.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/resumption/OriginDirectory.kt
@@ -125,8 +125,9 @@
         val version = soleVersion(service, replies, own = null, now) ?: return
         for (reply in replies) {
             val age = reply.age ?: continue
+            val period = reply.period ?: continue
             if (reply.soleVersion == version) {
-                versions.told(service, version, since = askedAt - age - lifetime, until = askedAt - age)
+                versions.told(service, version, since = now - period, until = askedAt - age)
             }
         }
     }
