Count the time before a pause in observing the targets as unknown

Cause: a process that was frozen, or got no processor, went on vouching for one version over the time in which it had observed nothing. Change: OriginDirectory forgets since when it knows the versions if more than 3 s have passed since it last observed the targets, which happens every 200 ms otherwise; it learns them from others again, as after a start.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/resumption/OriginDirectory.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/resumption/OriginDirectory.kt
@@ -28,6 +28,7 @@
 ) {
     private val origins = StreamOrigins(maximumStreams)
     private val mixedServices = HashSet<ServiceName>()
+    private var observedAt: Instant? = null
 
     /** Software versions that were in service. */
     public val versions: VersionHistory = VersionHistory()
@@ -45,7 +46,7 @@
     }
 
     /**
-     * Records the [targets] that are in service at [now].
+     * Records the [targets] that are in service at [now]; has to be called at least every [MAXIMUM_PAUSE].
      *
      * @return streams of this process that have to be reported now, as their service is not known to have one version only
      */
@@ -53,6 +54,10 @@
         targets: Collection<DirectTarget>,
         now: Instant,
     ): List<StreamOrigin> {
+        if (observedAt?.let { now - it > MAXIMUM_PAUSE } == true) {
+            versions.forgetTimeBefore()
+        }
+        observedAt = now
         versions.observe(targets, now)
         versions.forgetBefore(now - lifetime)
         origins.expire(lifetime, now)
@@ -200,6 +205,9 @@
         val UNNAMED = RequestId("")
         val MINIMUM_LIFETIME = 10.seconds
 
+        /** Pause in which a version may have come and left unseen, as a process was frozen. */
+        val MAXIMUM_PAUSE = 3.seconds
+
         /** Streams that are remembered. */
         const val MAXIMUM_STREAMS = 20_000
     }
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/resumption/VersionHistory.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/resumption/VersionHistory.kt
@@ -38,6 +38,12 @@
         completeSince = Instant.DISTANT_PAST
     }
 
+    /** Records that further versions may have been in service until now. */
+    public fun forgetTimeBefore() {
+        completeSince = null
+        toldSince.clear()
+    }
+
     /**
      * Records that another process knows of no version of [service] but [version] from [since] to [until].
      *
