Wait for replies of asked processes that were not heard yet

Cause: a query about a stream ended when all asked processes that are reachable had replied; an entry that has just started, or was cut off, has heard one of them only. Change: a query waits up to 100 ms for all processes that it asks. While a lost process is still registered, a resumed stream of unknown origin waits that long.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OriginQueries.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OriginQueries.kt
@@ -23,6 +23,7 @@
      * Returns the replies of [asked] up to the first one with an origin.
      *
      * Waits for all of them for 100 ms, and for the first one for 300 ms, as processes that have just started reply late.
+     * Also those that are not reachable are waited for: a process that has just started has not heard the others yet.
      *
      * @param attempt attempt that brought the first event of a stream, or null to ask about [service] only
      */
@@ -31,9 +32,8 @@
         attempt: RequestId?,
         service: ServiceName,
     ): Collection<OriginReply> {
-        val expected = asked.filterTo(HashSet()) { it in fleet.reachable }.ifEmpty { asked.toSet() }
         val query = OriginQuery(fleet.ownHost, ++lastQuery, attempt, service)
-        val pending = OpenQuery(expected)
+        val pending = OpenQuery(asked)
         open[query.query] = pending
         try {
             for (pause in PAUSES) {
@@ -58,7 +58,7 @@
     }
 
     private class OpenQuery(
-        private val expected: Set<HostName>,
+        private val expected: Collection<HostName>,
     ) {
         val replies = HashMap<HostName, OriginReply>()
         val isDone = CompletableDeferred<Unit>()
