--- a/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/SimulatedProcess.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/SimulatedProcess.kt
@@ -109,9 +109,8 @@
         service: ServiceName,
         done: (Collection<OriginReply>?) -> Unit,
     ) {
-        val expected = asked.filterTo(HashSet()) { fleet.isReachable(it, this) }.ifEmpty { asked.toSet() }
         val query = OriginQuery(host, fleet.nextQuery(), attempt, service)
-        val pending = OpenQuery(expected, done)
+        val pending = OpenQuery(asked, done)
         open[query.query] = pending
         asked.forEach { send(query, it) }
         fleet.after(REPEAT_AFTER) { if (!pending.isDone) (asked - pending.replies.keys).forEach { send(query, it) } }
@@ -141,7 +140,7 @@
     }
 
     private class OpenQuery(
-        private val expected: Set<HostName>,
+        private val expected: List<HostName>,
         private val done: (Collection<OriginReply>?) -> Unit,
     ) {
         val replies = LinkedHashMap<HostName, OriginReply>()
