Do not cut answers that are not read for a second for the body of another caller

What callers saw: an answer of 8 MB whose caller had not read for a second was cut in its middle when a body of 60 KB needed room in the budget for callers. Cause: CallerBudget counts every connection without progress for 0.5 s as stalled, whether its caller has to send the rest of a request or to read an answer for which a target has worked. Work that is done was given up for work that had not begun. Change: a connection whose caller has to read an answer counts as stalled after 2 s; until then a body that finds no room is refused as not run.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/callers/CallerBudget.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/callers/CallerBudget.kt
@@ -2,6 +2,7 @@
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
 /**
@@ -12,10 +13,12 @@
  *
  * @param maximumBytes size of the budget in bytes
  * @param stallTime time without progress after which a connection counts as making none
+ * @param readStallTime the same for one whose caller has to read an answer, which would be cut
  */
 public class CallerBudget(
     public val maximumBytes: Long,
     private val stallTime: Duration = STALL_TIME,
+    private val readStallTime: Duration = READ_STALL_TIME,
 ) {
     private val lock = Any()
     private val shares = LinkedHashSet<Share>()
@@ -27,15 +30,14 @@
     /**
      * Returns the share of a connection, which holds nothing yet.
      *
-     * @param awaitsCaller whether the next bytes are due to or from the caller; a connection does not count as stalled
-     *   while its caller waits for an answer
+     * @param wait what the connection waits for; it does not count as stalled while its caller waits for an answer
      * @param onExceeded called once if the connection is ended, with the bytes that it held; it must let go of them
      */
     public fun open(
         now: Instant,
-        awaitsCaller: () -> Boolean = { true },
+        wait: () -> CallerWait = { CallerWait.REQUEST },
         onExceeded: (bytes: Long) -> Unit,
-    ): Share = Share(now, awaitsCaller, onExceeded).also { synchronized(lock) { shares += it } }
+    ): Share = Share(now, wait, onExceeded).also { synchronized(lock) { shares += it } }
 
     /**
      * Returns whether [bytes] more can be held, after it has ended connections without progress that stand in the way.
@@ -74,7 +76,7 @@
         while (total > maximumBytes) {
             val stalled = shares.filter { it.isStalled(now) }
             val isEnough = total - stalled.sumOf { it.bytes } <= maximumBytes
-            val candidates = if (isEnough) stalled else shares.filter { it.awaitsCaller() }.ifEmpty { shares }
+            val candidates = if (isEnough) stalled else shares.filter { it.awaitsCaller }.ifEmpty { shares }
             excess += end(candidates.maxBy { it.bytes })
         }
         return excess
@@ -89,7 +91,7 @@
     /** What the process holds of one connection. */
     public inner class Share internal constructor(
         now: Instant,
-        internal val awaitsCaller: () -> Boolean,
+        private val wait: () -> CallerWait,
         internal val onExceeded: (bytes: Long) -> Unit,
     ) {
         internal var progressAt = now
@@ -98,6 +100,8 @@
         internal var bytes = 0L
             private set
 
+        internal val awaitsCaller: Boolean get() = wait() != CallerWait.ANSWER
+
         /** Records that the connection holds [held] bytes, and that bytes moved if it [hasProgressed]. */
         public fun update(
             held: Long,
@@ -119,7 +123,13 @@
             excess.forEach { (share, held) -> share.onExceeded(held) }
         }
 
-        internal fun isStalled(now: Instant): Boolean = bytes > 0 && awaitsCaller() && now - progressAt >= stallTime
+        internal fun isStalled(now: Instant): Boolean =
+            bytes > 0 &&
+                when (wait()) {
+                    CallerWait.ANSWER -> false
+                    CallerWait.REQUEST -> now - progressAt >= stallTime
+                    CallerWait.READING -> now - progressAt >= readStallTime
+                }
 
         /** Gives all bytes back. */
         public fun close() {
@@ -138,6 +148,9 @@
         /** Longer than the pauses of a caller that sends steadily over a slow link. */
         private val STALL_TIME = 500.milliseconds
 
+        /** Longer than the pause of a caller that does not read for a second or so and then goes on. */
+        private val READ_STALL_TIME = 2.seconds
+
         /** With a quarter of a heap of 128 MiB, a crowd brought a process to 200 MiB resident, with an eighth to 157 MiB. */
         private const val HEAP_PER_BUDGET = 8
 
--- /dev/null
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/callers/CallerWait.kt
@@ -0,0 +1,13 @@
+package tanagerlane.callers
+
+/** What a connection of a caller waits for. */
+public enum class CallerWait {
+    /** Work of this process or of a target; the caller waits for an answer. */
+    ANSWER,
+
+    /** Bytes that the caller has to send. */
+    REQUEST,
+
+    /** The caller, who has to read an answer for which the work is done. */
+    READING,
+}
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/callers/CallerBudgetTest.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/callers/CallerBudgetTest.kt
@@ -2,6 +2,8 @@
 
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
@@ -59,6 +61,31 @@
             }
         }
 
+        context("room for a body beside a connection without progress") {
+            data class StalledCase(
+                val wait: CallerWait,
+                val stalled: Duration,
+                val isEnded: Boolean,
+            )
+            listOf(
+                StalledCase(CallerWait.REQUEST, 499.milliseconds, isEnded = false),
+                StalledCase(CallerWait.REQUEST, 500.milliseconds, isEnded = true),
+                StalledCase(CallerWait.READING, 1200.milliseconds, isEnded = false),
+                StalledCase(CallerWait.READING, 1999.milliseconds, isEnded = false),
+                StalledCase(CallerWait.READING, 2.seconds, isEnded = true),
+                StalledCase(CallerWait.ANSWER, 60.seconds, isEnded = false),
+            ).forEach { case ->
+                test("$case") {
+                    val budget = CallerBudget(100)
+                    var isEnded = false
+                    val share = budget.open(start, { case.wait }) { isEnded = true }
+                    share.update(90, hasProgressed = true, start - case.stalled)
+                    budget.makeRoom(20, budget.open(start) {}, start) shouldBe case.isEnded
+                    isEnded shouldBe case.isEnded
+                }
+            }
+        }
+
         test("a closed share gives its bytes back and takes no more") {
             val budget = CallerBudget(100)
             val share = budget.open(start) {}
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerGate.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerGate.kt
@@ -8,6 +8,7 @@
 import io.netty.channel.socket.SocketChannel
 import io.netty.handler.codec.http.HttpRequest
 import tanagerlane.callers.CallerBudget
+import tanagerlane.callers.CallerWait
 import tanagerlane.callers.ConnectionEnd
 import tanagerlane.callers.ConnectionLimits
 import tanagerlane.callers.ProgressLease
@@ -137,7 +138,7 @@
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         this.context = context
-        share = budget.open(now(), ::awaitsCaller) { end(ConnectionEnd.OVER_BUDGET) }
+        share = budget.open(now(), ::callerWait) { end(ConnectionEnd.OVER_BUDGET) }
         charge(hasProgressed = false)
     }
 
@@ -280,8 +281,7 @@
         this.lease = lease
     }
 
-    private fun awaitsCaller(): Boolean =
-        unreadAnswer.bytes > 0 || !(phase == GatePhase.HELD || phase == GatePhase.RUNNING)
+    private fun callerWait(): CallerWait = if (unreadAnswer.bytes > 0) CallerWait.READING else phase.callerWait
 
     private fun charge(hasProgressed: Boolean) {
         val bytes = ConnectionCost.of(head, body) + held.capacity + unreadAnswer.bytes
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/GatePhase.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/GatePhase.kt
@@ -1,5 +1,7 @@
 package tanagerlane.direct
 
+import tanagerlane.callers.CallerWait
+
 /**
  * State of the current request of a connection.
  *
@@ -25,4 +27,8 @@
 
     /** The last answer was given, and what still arrives is discarded. */
     CLOSING,
+    ;
+
+    /** What the connection waits for unless the caller has an answer to read. */
+    val callerWait: CallerWait get() = if (this == HELD || this == RUNNING) CallerWait.ANSWER else CallerWait.REQUEST
 }
