Hold a silent target back once for all requests that stay there

What callers saw: requests at a silent target waited up to 2 s longer than needed for a place at another one which had fallen silent too and was free again. Cause: each request that stays at a silent target for want of a place elsewhere records a failure of it. FailureBackoff doubles the backoff with each one, so a single silence of a target with several requests holds it back for seconds. Change: TargetPacing.stayedSilent; during a backoff FailureBackoff ignores it, as TargetWindow does with failures during a hold.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/pace/TargetPace.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/pace/TargetPace.kt
@@ -103,6 +103,11 @@
         now: Instant,
     ): Unit = inner.failed(target, now)
 
+    override fun stayedSilent(
+        target: TargetName,
+        now: Instant,
+    ): Unit = inner.stayedSilent(target, now)
+
     override fun received(
         report: PlaceReport,
         now: Instant,
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/places/FailureBackoff.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/places/FailureBackoff.kt
@@ -29,10 +29,7 @@
         target: DirectTarget,
         loads: TargetLoads,
         now: Instant,
-    ): PaceDecision {
-        val isInBackoff = failures[target.name]?.let { it.backoffUntil > now } ?: false
-        return if (isInBackoff) PaceDecision.HELD else PaceDecision.ADMITTED
-    }
+    ): PaceDecision = if (isInBackoff(target.name, now)) PaceDecision.HELD else PaceDecision.ADMITTED
 
     override fun succeeded(target: TargetName) {
         failures.remove(target)
@@ -47,6 +44,21 @@
         failures[target] = FailureStreak(length, backoffUntil = now + minOf(backoff, maximum))
     }
 
+    /** Requests that find a target silent during its backoff were sent before it, so they do not lengthen it. */
+    override fun stayedSilent(
+        target: TargetName,
+        now: Instant,
+    ) {
+        if (!isInBackoff(target, now)) {
+            failed(target, now)
+        }
+    }
+
+    private fun isInBackoff(
+        target: TargetName,
+        now: Instant,
+    ): Boolean = failures[target]?.let { it.backoffUntil > now } ?: false
+
     private data class FailureStreak(
         val length: Int,
         val backoffUntil: Instant,
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/places/TargetPacing.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/places/TargetPacing.kt
@@ -50,6 +50,12 @@
         now: Instant,
     )
 
+    /** Records that a request of this process stays at [target], which is silent; others may find the same silence. */
+    public fun stayedSilent(
+        target: TargetName,
+        now: Instant,
+    ): Unit = failed(target, now)
+
     /** Records what the sender of [report] has observed. */
     public fun received(
         report: PlaceReport,
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/PlaceElsewhere.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/PlaceElsewhere.kt
@@ -36,7 +36,7 @@
             record("left", request, target, held, now)
         } else if (request.silentTarget != target.name) {
             request.silentTarget = target.name
-            loadBalancer.failed(target.name, now)
+            loadBalancer.pace { stayedSilent(target.name, now) }
             metrics.silentTargetsKept.increment()
             record("kept", request, target, held = null, now)
         }
