Do not take a deployment for a new one after a planned stop of all processes

What callers saw: a stream that a planned stop of all processes cut was resumed at another software version with status 200, if its version had left before the first process started again. Cause: a process that finds no registrations vouches that no other version was in service before. Processes that stop as planned remove their registrations, so the first one to start again finds none, and tells the others since. Change: the first of the registered processes creates the object deployments/first-start. Only the process that has created it takes the deployment for new. The others ask it, as they ask about any time before their start.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/Membership.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/Membership.kt
@@ -16,6 +16,7 @@
 import tanagerlane.store.ObjectKey
 import tanagerlane.store.ObjectStore
 import tanagerlane.store.ObjectVersion
+import tanagerlane.store.StoreFailure
 import tanagerlane.views.ObjectView
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -24,7 +25,7 @@
 /**
  * Registers this process in the object API and removes the registrations of processes that are lost.
  *
- * @param onNewDeployment called if no process was registered when this one started
+ * @param onNewDeployment called if this is the first process of the deployment that has ever started
  */
 internal class Membership(
     private val store: ObjectStore,
@@ -39,10 +40,13 @@
     private val unreachableSince = HashMap<HostName, Instant>()
     private val changes = Channel<Unit>(Channel.CONFLATED)
 
+    /** Whether the deployment may be new, as no process was registered when this one started. */
+    private var mayBeNew = false
+
     /** Applies [updated], the registrations that are stored in the object API. */
     fun update(updated: ObjectView) {
         if (!view.isComplete && updated.isComplete && updated.objects.isEmpty()) {
-            onNewDeployment()
+            mayBeNew = true
         }
         view = updated
         registered = decodedMembers.decode(view)
@@ -57,11 +61,29 @@
             if (view.isComplete && !isRegistered(member)) {
                 register(member)
             }
+            if (mayBeNew && isFirst(member)) {
+                recordStart(member)
+            }
             changes.receiveWithin(CHECK_INTERVAL)
             removeLostMembers()
         }
     }
 
+    /** Creates the record of the first start; unlike registrations it stays when all processes stop as planned. */
+    private suspend fun recordStart(member: Member) {
+        store.put(FIRST_START, Payload.of(member.host.text), expected = null).fold(
+            success = {
+                logger.info("deployment is new host={} version={}", member.host, it)
+                mayBeNew = false
+                onNewDeployment()
+            },
+            failure = {
+                logger.info("deployment is not known to be new host={} cause={}", member.host, it)
+                mayBeNew = it is StoreFailure.Unavailable
+            },
+        )
+    }
+
     /** Removes the registration of this process. */
     suspend fun deregister() {
         val member = ownMember ?: return
@@ -71,6 +93,10 @@
 
     private fun isRegistered(member: Member): Boolean = member.host.text in view.objects && member in registered
 
+    /** Whether [member] is the one of the registered processes that records the first start, as one of them is enough. */
+    private fun isFirst(member: Member): Boolean =
+        isRegistered(member) && registered.minOf { it.host.text } == member.host.text
+
     private suspend fun register(member: Member) {
         val storedVersion = view.objects[member.host.text]?.version?.let(::ObjectVersion)
         val value = Payload.of(Json.encodeToString(Member.serializer(), member))
@@ -115,6 +141,8 @@
         /** Kind of the objects that hold the registrations. */
         const val KIND = "members"
 
+        /** Object that exists once a process of the deployment has started. */
+        private val FIRST_START = ObjectKey("deployments/first-start")
         private const val MAXIMUM_REASON_CHARACTERS = 200
 
         /** Maximum time between two checks of the registrations; a change triggers a check at once. */
