Show the last answer and the entry's output when callers are not served after a crowd

A failure of MisbehavingCallersTest told only that the status was 503; the reason is in the output of the entry, which was deleted with its process.

--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/MisbehavingCallersTest.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/MisbehavingCallersTest.kt
@@ -37,12 +37,15 @@
         }
 
         suspend fun checkServes(entry: CrowdedEntry) {
-            eventually(15.seconds) {
-                val answer =
-                    withContext(Dispatchers.IO) {
-                        runCatching { RawCaller.send(entry.port, "/desk/1", "ordinary${System.nanoTime()}") }
-                    }
-                answer.getOrNull()?.status shouldBe 200
+            var answer: Result<RawCaller.ReceivedAnswer?>? = null
+            withClue({ "last answer $answer, output of the entry:\n${entry.output().takeLast(SHOWN_CHARACTERS)}" }) {
+                eventually(15.seconds) {
+                    answer =
+                        withContext(Dispatchers.IO) {
+                            runCatching { RawCaller.send(entry.port, "/desk/1", "ordinary${System.nanoTime()}") }
+                        }
+                    answer.getOrNull()?.status shouldBe 200
+                }
             }
         }
 
