Prefer answers whose callers pause, and requests that have not arrived, where the budget for callers is exceeded

Change: it ends a connection whose request has not arrived and which alone holds enough, else the largest answer whose caller pauses for the time that counted as stalled before, else the largest of all.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/callers/CallerBudget.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/callers/CallerBudget.kt
@@ -8,8 +8,9 @@
 /**
  * Budget for the bytes that a process holds for all connections of callers. Thread-safe.
  *
- * While they are over the budget, the largest connection whose caller makes no progress is ended, or the largest of all if
- * those without progress do not hold enough. So small requests, and those that wait for this process, are ended last.
+ * While they are over the budget, the largest connection whose caller makes no progress is ended. If those without progress do
+ * not hold enough, it is one whose request has not arrived and which alone holds enough, else the largest answer whose caller
+ * pauses, else the largest of all. So small requests, and those that wait for this process, are ended last.
  *
  * @param maximumBytes size of the budget in bytes
  * @param stallTime time without progress after which a connection counts as making none
@@ -74,14 +75,22 @@
     private fun takeExcess(now: Instant): List<Pair<Share, Long>> {
         val excess = ArrayList<Pair<Share, Long>>()
         while (total > maximumBytes) {
-            val stalled = shares.filter { it.isStalled(now) }
-            val isEnough = total - stalled.sumOf { it.bytes } <= maximumBytes
-            val candidates = if (isEnough) stalled else shares.filter { it.awaitsCaller }.ifEmpty { shares }
-            excess += end(candidates.maxBy { it.bytes })
+            excess += end(candidates(now).maxBy { it.bytes })
         }
         return excess
     }
 
+    private fun candidates(now: Instant): Collection<Share> {
+        val stalled = shares.filter { it.isStalled(now) }
+        if (total - stalled.sumOf { it.bytes } <= maximumBytes) {
+            return stalled
+        }
+        val sending = shares.filter { it.wait() == CallerWait.REQUEST && it.bytes >= total - maximumBytes }
+        val pausing = shares.filter { it.wait() == CallerWait.READING && it.bytes > 0 && it.pause(now) >= stallTime }
+        val waiting = shares.filter { it.wait() != CallerWait.ANSWER }
+        return listOf(sending, pausing, waiting).firstOrNull { it.isNotEmpty() } ?: shares
+    }
+
     private fun end(share: Share): Pair<Share, Long> {
         val held = share.bytes
         share.remove()
@@ -91,7 +100,7 @@
     /** What the process holds of one connection. */
     public inner class Share internal constructor(
         now: Instant,
-        private val wait: () -> CallerWait,
+        internal val wait: () -> CallerWait,
         internal val onExceeded: (bytes: Long) -> Unit,
     ) {
         internal var progressAt = now
@@ -100,8 +109,6 @@
         internal var bytes = 0L
             private set
 
-        internal val awaitsCaller: Boolean get() = wait() != CallerWait.ANSWER
-
         /** Records that the connection holds [held] bytes, and that bytes moved if it [hasProgressed]. */
         public fun update(
             held: Long,
@@ -127,10 +134,13 @@
             bytes > 0 &&
                 when (wait()) {
                     CallerWait.ANSWER -> false
-                    CallerWait.REQUEST -> now - progressAt >= stallTime
-                    CallerWait.READING -> now - progressAt >= readStallTime
+                    CallerWait.REQUEST -> pause(now) >= stallTime
+                    CallerWait.READING -> pause(now) >= readStallTime
                 }
 
+        /** Time without progress. */
+        internal fun pause(now: Instant): Duration = now - progressAt
+
         /** Gives all bytes back. */
         public fun close() {
             synchronized(lock) { remove() }
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/callers/CallerWait.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/callers/CallerWait.kt
@@ -8,6 +8,6 @@
     /** Bytes that the caller has to send. */
     REQUEST,
 
-    /** The caller, who has to read an answer for which the work is done. */
+    /** The caller, who has to read what was written of an answer. */
     READING,
 }
