Count what a caller reads of a long write as progress

What callers saw: an answer of 8 MB that its caller read at 1 MB/s without a pause was cut for the body of another caller. Cause: the share of a connection in the budget was told of progress only once a whole write had gone to the socket, and such an answer is one write. Change: CallerGate reports what has gone to the socket of the first write at each check, which UnreadAnswer measures already.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerGate.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerGate.kt
@@ -85,7 +85,7 @@
 
     /** Ends the connection if its time has run out. */
     fun checkTime(now: Instant) {
-        unreadAnswer.update(context.channel().unsafe().outboundBuffer(), now)
+        if (unreadAnswer.update(context.channel().unsafe().outboundBuffer(), now)) charge(hasProgressed = true)
         when {
             unreadAnswer.isExpired(now) -> {
                 end(ConnectionEnd.SLOW_READER)
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/UnreadAnswer.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/UnreadAnswer.kt
@@ -35,17 +35,22 @@
         if (bytes == 0L) lease = null
     }
 
-    /** Extends the time by what has gone to the socket since the last call; the first piece of [buffer] may have begun to. */
+    /**
+     * Extends the time by what has gone to the socket since the last call; the first piece of [buffer] may have begun to.
+     *
+     * @return whether anything has
+     */
     fun update(
         buffer: ChannelOutboundBuffer?,
         now: Instant,
-    ) {
+    ): Boolean {
         val currentBytes = (buffer?.current() as? ByteBuf)?.readableBytes() ?: 0
         val progress =
             if (sentBytes != lastSentBytes) sentBytes - lastSentBytes else (lastCurrentBytes - currentBytes).toLong()
         lastSentBytes = sentBytes
         lastCurrentBytes = currentBytes
         lease = lease?.afterProgress(progress.coerceAtLeast(0), now)
+        return progress > 0
     }
 
     /** Whether the caller has made too little progress. */
