Record the first start of a deployment by whichever process can

What callers saw: with a stream was still resumed at another version after a planned stop of all processes, if none of them had recorded the first start: they had started beside processes of an earlier release, or the call that records it was lost. Cause: only a process that had found no registrations tried to create the record, and once. Change: the first registered process creates it whether or not it found registrations, the others 3 s later if it is not known to exist, and again until it is. A process that stops and cannot tell that it exists leaves its registration. Having created the record shows a new deployment only to a process that found no registrations, and not if it has paused in observing the targets since.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/resumption/VersionHistory.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/resumption/VersionHistory.kt
@@ -14,6 +14,7 @@
     private var ofServices: Map<ServiceName, Set<SoftwareVersion>> = emptyMap()
     private var mixedServices: Set<ServiceName> = emptySet()
     private var completeSince: Instant? = null
+    private var hasForgotten = false
     private val toldSince = HashMap<ServiceName, Instant>()
 
     /** Records the [targets] that are in service at [now], including those that are leaving. */
@@ -33,13 +34,19 @@
         ofServices.forEach { (service, versions) -> record(service, versions, now) }
     }
 
-    /** Records that the deployment is new, so that no targets were in service before the first ones observed. */
+    /**
+     * Records that the deployment was new when this process started, so that no targets were in service before the first
+     * ones observed; ignored once further versions may have been in service since.
+     */
     public fun assumeNothingBefore() {
-        completeSince = Instant.DISTANT_PAST
+        if (!hasForgotten) {
+            completeSince = Instant.DISTANT_PAST
+        }
     }
 
     /** Records that further versions may have been in service until now. */
     public fun forgetTimeBefore() {
+        hasForgotten = true
         completeSince = null
         toldSince.clear()
     }
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/Membership.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/Membership.kt
@@ -40,13 +40,17 @@
     private val unreachableSince = HashMap<HostName, Instant>()
     private val changes = Channel<Unit>(Channel.CONFLATED)
 
-    /** Whether the deployment may be new, as no process was registered when this one started. */
-    private var mayBeNew = false
+    /** Whether no process was registered when this one started. */
+    private var hasFoundNone = false
+
+    /** Whether the object exists that records that a process of the deployment has started. */
+    private var isStartRecorded = false
+    private var registeredAt: Instant? = null
 
     /** Applies [updated], the registrations that are stored in the object API. */
     fun update(updated: ObjectView) {
         if (!view.isComplete && updated.isComplete && updated.objects.isEmpty()) {
-            mayBeNew = true
+            hasFoundNone = true
         }
         view = updated
         registered = decodedMembers.decode(view)
@@ -61,7 +65,7 @@
             if (view.isComplete && !isRegistered(member)) {
                 register(member)
             }
-            if (mayBeNew && isFirst(member)) {
+            if (!isStartRecorded && hasToRecordStart(member)) {
                 recordStart(member)
             }
             changes.receiveWithin(CHECK_INTERVAL)
@@ -73,29 +77,33 @@
     private suspend fun recordStart(member: Member) {
         store.put(FIRST_START, Payload.of(member.host.text), expected = null).fold(
             success = {
-                logger.info("deployment is new host={} version={}", member.host, it)
-                mayBeNew = false
-                onNewDeployment()
+                logger.info("first start recorded host={} version={} new={}", member.host, it, hasFoundNone)
+                isStartRecorded = true
+                if (hasFoundNone) onNewDeployment()
             },
             failure = {
-                logger.info("deployment is not known to be new host={} cause={}", member.host, it)
-                mayBeNew = it is StoreFailure.Unavailable
+                isStartRecorded = it is StoreFailure.Conflict
+                if (!isStartRecorded) logger.warn("first start not recorded host={} cause={}", member.host, it)
             },
         )
     }
 
-    /** Removes the registration of this process. */
+    /** Removes the registration of this process, unless nothing else would show later that a process has run. */
     suspend fun deregister() {
         val member = ownMember ?: return
         val stored = view.objects[member.host.text] ?: return
-        store.delete(keyOf(member.host), ObjectVersion(stored.version))
+        if (!isStartRecorded) recordStart(member)
+        if (isStartRecorded) store.delete(keyOf(member.host), ObjectVersion(stored.version))
     }
 
     private fun isRegistered(member: Member): Boolean = member.host.text in view.objects && member in registered
 
-    /** Whether [member] is the one of the registered processes that records the first start, as one of them is enough. */
-    private fun isFirst(member: Member): Boolean =
-        isRegistered(member) && registered.minOf { it.host.text } == member.host.text
+    /** Whether [member] has been registered for a while, or is the one of the registered processes that goes first. */
+    private fun hasToRecordStart(member: Member): Boolean {
+        if (!isRegistered(member)) return false
+        val since = registeredAt ?: now().also { registeredAt = it }
+        return now() - since >= RECORDING_DELAY || registered.minOf { it.host.text } == member.host.text
+    }
 
     private suspend fun register(member: Member) {
         val storedVersion = view.objects[member.host.text]?.version?.let(::ObjectVersion)
@@ -145,6 +153,9 @@
         private val FIRST_START = ObjectKey("deployments/first-start")
         private const val MAXIMUM_REASON_CHARACTERS = 200
 
+        /** Time for which a process leaves it to the first one to record the start, as each call has a price. */
+        private val RECORDING_DELAY = 3.seconds
+
         /** Maximum time between two checks of the registrations; a change triggers a check at once. */
         private val CHECK_INTERVAL = 1.seconds
 
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/PlannedStopVersionsTest.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/PlannedStopVersionsTest.kt
@@ -9,8 +9,10 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.withContext
 import tanagerlane.direct.RawCaller.ReceivedAnswer
+import tanagerlane.store.ObjectKey
 import kotlin.time.Duration.Companion.seconds
 
 /** Guards against processes that take a deployment for a new one because all others have stopped as planned. */
@@ -65,6 +67,9 @@
                 deployment.deregister("t1")
                 deployment.register("t2", after.port, version = case.version)
                 val entry = deployment.startEntry("entry-3", "first-again")
+                eventually(10.seconds) { deployment.store.get(ObjectKey("deployments/first-start")).isOk shouldBe true }
+                // Nothing tells when the process has used the outcome of its own attempt to create the object.
+                delay(1.seconds)
                 val answer = send(entry.port, "again", "Last-Event-Id: 3\r\nResumes: broken\r\n")
                 answer?.status shouldBe case.status
                 after.requests.count { it.startsWith("again ") } shouldBe (if (case.status == 200) 1 else 0)
