--- a/tanagerlane-core/src/main/kotlin/tanagerlane/places/FailureBackoff.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/places/FailureBackoff.kt
@@ -44,7 +44,7 @@
         failures[target] = FailureStreak(length, backoffUntil = now + minOf(backoff, maximum))
     }
 
-    /** Requests that find a target silent during its backoff were sent before it, so they do not lengthen it. */
+    /** Most requests that find a target silent during its backoff were sent before it, so they do not lengthen it. */
     override fun stayedSilent(
         target: TargetName,
         now: Instant,
