Stop reading a caller's connection while too much of what was sent ahead waits

Callers saw a running request end without an answer, or in the middle of it, because of what they had sent ahead on its connection. CallerGate deferred its read, but the channel reads by itself, so the deferred read had no effect and all bytes were charged until the budget ended the connection.

The gate now switches the channel's own reading off while it holds 64 KiB, and on again once bytes were passed on.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerGate.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerGate.kt
@@ -17,7 +17,7 @@
 
 /**
  * Passes the bytes of a caller's connection to the HTTP codec: one head at a time, its body once that is admitted, and
- * the next head once the answer was written to the socket. At most one read of bytes waits here; it is the first handler
+ * the next head once the answer was written to the socket. A bounded number of bytes waits here; it is the first handler
  * of the pipeline, and runs on the event loop alone.
  *
  * @param limits limits of the connection, asked for each request
@@ -156,7 +156,8 @@
     }
 
     override fun read(context: ChannelHandlerContext) {
-        if (held.isEmpty) context.read() else isReadDeferred = true
+        isReadDeferred = held.isFull
+        if (isReadDeferred) context.channel().config().isAutoRead = false else context.read()
     }
 
     override fun write(
@@ -203,10 +204,7 @@
     }
 
     private fun resumeReading() {
-        if (isReadDeferred && held.isEmpty) {
-            isReadDeferred = false
-            context.read()
-        }
+        if (isReadDeferred && !held.isFull) context.channel().config().isAutoRead = true
     }
 
     /** Returns the next bytes for the codec, or null if it must not get any now. */
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/HeldBytes.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/HeldBytes.kt
@@ -11,6 +11,9 @@
     /** Memory that the bytes occupy. */
     val capacity: Long get() = buffers.sumOf { it.capacity().toLong() }
 
+    /** Whether no more should be read; a caller that leaves is not noticed then until bytes were taken. */
+    val isFull: Boolean get() = capacity >= MAXIMUM_BYTES
+
     /** The oldest bytes, which are not removed, or null if there are none. */
     val firstBytes: ByteBuf? get() = buffers.firstOrNull()
 
@@ -30,4 +33,9 @@
         buffers.forEach { it.release() }
         buffers.clear()
     }
+
+    private companion object {
+        /** Four reads; a body or a next request of ordinary size fits, so that its caller is seen to leave. */
+        const val MAXIMUM_BYTES = 64 shl 10
+    }
 }
