Send the refusal of a long head that was sent ahead of an earlier answer

Beside a configuration that lowers the limits, callers that had sent a request ahead saw the connection end after the answer before it: neither an answer nor a refusal. The gate writes 431 and shuts the output at once. While an earlier answer is being flushed the 431 is only queued, and shutting the output drops it.

The output is now shut once the refusal is in the socket. RequestEndsTest has further rows: nine states of a request, among them targets that are silent before or in the middle of the answer with and without a place elsewhere, beside seven changes of the configuration, alone and before a stop.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerGate.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/CallerGate.kt
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelDuplexHandler
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelPromise
 import io.netty.channel.socket.SocketChannel
@@ -243,8 +244,9 @@
 
     private fun refuseHead() {
         onEnded(this, ConnectionEnd.LARGE_HEAD)
-        context.writeAndFlush(Unpooled.wrappedBuffer(LARGE_HEAD_ANSWER))
-        beginClosing()
+        // Behind the answer to an earlier request it is not in the socket yet, and would be lost with the output.
+        val written = context.writeAndFlush(Unpooled.wrappedBuffer(LARGE_HEAD_ANSWER))
+        beginClosing(afterWrite = written)
     }
 
     private fun beginNext() {
@@ -255,11 +257,11 @@
     }
 
     /** Ends the answers, and reads on for a while, since a connection that is closed with unread bytes is reset. */
-    private fun beginClosing() {
+    private fun beginClosing(afterWrite: ChannelFuture = context.newSucceededFuture()) {
         enter(GatePhase.CLOSING)
         body.discard()
         held.release()
-        (context.channel() as? SocketChannel)?.shutdownOutput()
+        afterWrite.addListener { (context.channel() as? SocketChannel)?.shutdownOutput() }
         charge(hasProgressed = false)
         resumeReading()
     }
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/EndsRow.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/EndsRow.kt
@@ -1,11 +1,15 @@
 package tanagerlane.direct
 
-/** A request, the point of its way that it has reached, and what happens then. */
+/** A request, the point of its way that it has reached, what happens then, and whether the entry stops after that. */
 internal data class EndsRow(
     val kind: Kind,
     val point: Point,
     val event: Event,
+    val isStopped: Boolean = false,
 ) {
+    /** Whether entries stop while the request is open. */
+    val stops: Boolean get() = isStopped || event.stops
+
     /** Name of the rows that are played together. */
     val group: String
         get() = if (event == Event.SMALL_BUDGET && point == Point.UNREAD) "$point with a small budget" else "$point"
@@ -63,6 +67,28 @@
 
         /** The request was sent on a connection whose earlier request still runs at a target. */
         AHEAD,
+
+        /** A target has been silent before the head of the answer, and no other one has a free place. */
+        SILENT_HEAD,
+
+        /** A target has been silent in the middle of the answer, and no other one has a free place. */
+        SILENT_MIDDLE,
+
+        /** As [SILENT_HEAD]; another target gets free places after the event. */
+        ELSEWHERE_HEAD,
+
+        /** As [SILENT_MIDDLE]; another target gets free places after the event. */
+        ELSEWHERE_MIDDLE,
+        ;
+
+        /** Whether a target is silent for so long that the request looks for a place elsewhere. */
+        val isSilent: Boolean get() = ordinal >= SILENT_HEAD.ordinal
+
+        /** Whether the target has sent half of the answer. */
+        val isMiddle: Boolean get() = this == MIDDLE || this == SILENT_MIDDLE || this == ELSEWHERE_MIDDLE
+
+        /** Whether another target gets free places while the one of the request stays silent. */
+        val isElsewhere: Boolean get() = this == ELSEWHERE_HEAD || this == ELSEWHERE_MIDDLE
     }
 
     /** What happens while the request is at its point. */
@@ -78,6 +104,9 @@
         STOP_OF_TWO(stops = true),
         ROUTE_REMOVED,
         ROUTE_MOVED,
+        SERVICE_MOVED,
+        WEIGHT_ZERO,
+        TIMEOUT_SHORTENED,
         KEY_REMOVED,
         LIMITS_LOWERED,
         ROUTE_REMOVED_AND_STOP(stops = true),
@@ -95,6 +124,8 @@
         private val stops = listOf(Event.STOP, Event.STOP_RUNS_OUT, Event.ROUTE_REMOVED_AND_STOP)
         private val configurations =
             listOf(Event.ROUTE_REMOVED, Event.ROUTE_MOVED, Event.KEY_REMOVED, Event.LIMITS_LOWERED)
+        private val allConfigurations =
+            configurations + Event.SERVICE_MOVED + Event.WEIGHT_ZERO + Event.TIMEOUT_SHORTENED
         private val targetEvents =
             listOf(Event.TARGET_SILENT, Event.TARGET_GONE, Event.STORE_HANGS, Event.STORE_DOWN, Event.SMALL_BUDGET)
 
@@ -109,8 +140,13 @@
                 Point.MIDDLE -> rows(online, point, stops + configurations + targetEvents)
                 Point.UNREAD -> rows(online, point, listOf(Event.STOP, Event.LIMITS_LOWERED, Event.SMALL_BUDGET))
                 Point.AHEAD -> rows(online + jobCalls, point, stops + Event.KEY_REMOVED + Event.TARGET_GONE)
+                else -> rows(online, point, stops)
             }
 
+        /** All rows of online requests at [point] beside each change of the configuration, alone and before a stop. */
+        fun besideConfigurations(point: Point): List<EndsRow> =
+            rows(online, point, allConfigurations).flatMap { listOf(it, it.copy(isStopped = true)) }
+
         private fun rows(
             kinds: List<Kind>,
             point: Point,
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/EndsScene.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/EndsScene.kt
@@ -37,12 +37,12 @@
     private val ports: List<List<Int>>,
 ) {
     private val fill = if (row.point == Point.UNREAD) UNREAD_EVENT_BYTES else 0
-    private val targets = List(2) { HeldTarget(vertx, holdsBody = row.point == Point.MIDDLE, fill) }
+    private val targets = List(2) { HeldTarget(vertx, holdsBody = row.point.isMiddle, fill) }
     private val deployment = FakeDeployment(vertx, emptyList())
     private val store = HangingStore(deployment.store)
     private val violations = CopyOnWriteArrayList<String>()
     private val clock = TimeSource.Monotonic
-    private val isHeld = row.point in setOf(Point.HEAD, Point.MIDDLE, Point.UNREAD)
+    private val isHeld = row.point in setOf(Point.HEAD, Point.MIDDLE, Point.UNREAD) || row.point.isSilent
     private val id = if (isHeld) "held" else "asked"
     private val body = if (row.kind == Kind.SUBMIT) "a\nb" else "body"
     private val text = row.kind.request(id, body)
@@ -85,7 +85,7 @@
         deployment.prepare()
         targets.forEachIndexed { number, target -> deployment.register("t$number", target.start().port) }
         // A long objective, so that waiting requests are not refused before the event.
-        deployment.changeRoutes { routes -> routes.map { it.copy(objective = 8.seconds) } }
+        if (!row.point.isSilent) deployment.changeRoutes { routes -> routes.map { it.copy(objective = 8.seconds) } }
         val count = if (row.event == Event.STOP_OF_TWO) 2 else 1
         val budget =
             if (row.event ==
@@ -129,8 +129,7 @@
             }
 
             Point.PLACE -> {
-                others = List(PLACES) { async { checkEnd("held-$it", ask(entries[0].port, "held-$it", Kind.ONCE)) } }
-                eventually(5.seconds) { received().size shouldBe PLACES + 1 }
+                others = occupy(PLACES)
                 caller.send(text)
             }
 
@@ -139,17 +138,37 @@
             }
 
             else -> {
+                if (row.point.isSilent) others = occupy(PLACES - 1)
                 caller.send(text)
             }
         }
         if (isHeld || row.point == Point.AHEAD) eventually(5.seconds) { ("held" in received()) shouldBe true }
-        if (row.point != Point.READ) delay(if (row.point == Point.UNREAD) 1.seconds else SETTLING_TIME)
+        if (row.point !=
+            Point.READ
+        ) {
+            delay(if (row.point == Point.UNREAD || row.point.isSilent) 1.seconds else SETTLING_TIME)
+        }
+        return others
+    }
+
+    /** Occupies [count] places at targets; returns the ends of the requests that do. */
+    private suspend fun CoroutineScope.occupy(count: Int): List<Deferred<Unit>> {
+        val others = List(count) { async { checkEnd("held-$it", ask(entries[0].port, "held-$it", Kind.ONCE)) } }
+        eventually(5.seconds) { received().size shouldBe count + 1 }
         return others
     }
 
     /** Lets the event begin; returns the stops of the entries, or null if none stops. */
     private suspend fun CoroutineScope.happen(): Job? {
-        val stops = if (row.event.stops) launch { entries.forEach { it.daemon.drainAndStop() } } else null
+        val stops =
+            if (row.stops) {
+                launch {
+                    if (row.isStopped) delay(TIME_UNTIL_STOP)
+                    entries.forEach { it.daemon.drainAndStop() }
+                }
+            } else {
+                null
+            }
         when (row.event) {
             Event.STORE_HANGS -> store.hangingPrefix = ""
             Event.STORE_DOWN -> store.isDown = true
@@ -178,6 +197,10 @@
         }
         if (row.event == Event.STORE_DOWN) store.hangingPrefix = null
         if (row.point == Point.BODY) caller.send(text.takeLast(body.length - 1))
+        if (row.point.isElsewhere) {
+            targets.filterNot { id in it.requests }.forEach { it.release() }
+            delay(TIME_ELSEWHERE)
+        }
         targets.forEach { it.release() }
     }
 
@@ -273,6 +296,12 @@
         val REFUSAL_TIME = 2.seconds
         val SETTLING_TIME = 200.milliseconds
         val TIME_UNTIL_RELEASE = 500.milliseconds
+
+        /** Time between a change of the configuration and the stop that follows it. */
+        val TIME_UNTIL_STOP = 200.milliseconds
+
+        /** Time for which a target stays silent while another one has free places. */
+        val TIME_ELSEWHERE = 800.milliseconds
         val TIME_FOR_LATE_EFFECTS = 500.milliseconds
 
         /** Time for which callers of results wait. */
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/RequestEndsTest.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/RequestEndsTest.kt
@@ -41,14 +41,22 @@
             }
         }
 
+        suspend fun playAll(tested: List<EndsRow>) {
+            val permits = Semaphore(ROWS_AT_ONCE)
+            val violations =
+                withContext(dispatcher) {
+                    tested.map { row -> async { permits.withPermit { row to play(row) } } }.awaitAll()
+                }
+            violations.toMap().filterValues { it.isNotEmpty() } shouldBe emptyMap()
+        }
+
         for ((group, tested) in Point.entries.flatMap(EndsRow::at).groupBy { it.group }) {
-            test("requests end whatever happens at $group") {
-                val permits = Semaphore(ROWS_AT_ONCE)
-                val violations =
-                    withContext(dispatcher) {
-                        tested.map { row -> async { permits.withPermit { row to play(row) } } }.awaitAll()
-                    }
-                violations.toMap().filterValues { it.isNotEmpty() } shouldBe emptyMap()
+            test("requests end whatever happens at $group") { playAll(tested) }
+        }
+
+        for (point in Point.entries - Point.READ - Point.STORE) {
+            test("requests at $point end beside changes of the configuration, alone and before a stop") {
+                playAll(EndsRow.besideConfigurations(point))
             }
         }
     }) {
