--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/CallerServer.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/CallerServer.kt
@@ -6,20 +6,11 @@
 import io.vertx.ext.web.RoutingContext
 import io.vertx.ext.web.handler.BodyHandler
 import io.vertx.kotlin.coroutines.coAwait
-import io.vertx.kotlin.coroutines.dispatcher
-import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.SupervisorJob
-import kotlinx.coroutines.cancel
-import kotlinx.coroutines.launch
-import org.slf4j.LoggerFactory
 import tanagerlane.model.JobId
 import tanagerlane.model.RefusalReason
 import tanagerlane.model.RunState
 import tanagerlane.model.ServiceName
 import tanagerlane.model.WorkspaceName
-import java.io.IOException
-import java.util.concurrent.atomic.AtomicInteger
 
 /**
  * HTTP server for callers.
@@ -31,15 +22,14 @@
     private val vertx: Vertx,
     private val online: OnlineRoutes,
     private val jobs: JobRoutes,
-    private val record: suspend (WorkspaceName?, CallerRefusal) -> Unit,
-    private val draining: () -> Boolean,
+    record: suspend (WorkspaceName?, CallerRefusal) -> Unit,
+    draining: () -> Boolean,
 ) {
-    private val scope = CoroutineScope(SupervisorJob())
-    private val open = AtomicInteger()
+    private val exchanges = CallerExchanges(vertx, record, draining)
     private var server: HttpServer? = null
 
     /** Number of requests that are not answered yet. */
-    val openRequests: Int get() = open.get()
+    val openRequests: Int get() = exchanges.openRequests
 
     /** Listens on [address] and [port], or on a free port if it is 0; returns the port in use. */
     suspend fun start(
@@ -56,10 +46,10 @@
         return listening.actualPort()
     }
 
-    /** Stops the server and cancels the open requests. */
+    /** Ends the open requests and stops the server. */
     suspend fun stop() {
+        exchanges.endAll()
         server?.close()?.coAwait()
-        scope.cancel()
     }
 
     private fun router(): Router {
@@ -96,41 +86,7 @@
     private fun respond(
         context: RoutingContext,
         handle: suspend (CallerExchange) -> Unit,
-    ) {
-        open.incrementAndGet()
-        scope.launch(vertx.orCreateContext.dispatcher()) {
-            if (draining()) {
-                context.response().putHeader("connection", "close")
-            }
-            val exchange = CallerExchange(context, record)
-            try {
-                handle(exchange)
-            } catch (exception: CancellationException) {
-                throw exception
-            } catch (exception: IOException) {
-                logger.debug("caller disconnected", exception)
-            } catch (failure: Throwable) {
-                handleFailure(context, exchange, failure)
-            } finally {
-                open.decrementAndGet()
-            }
-        }
-    }
-
-    /** Ends an exchange whose handler threw; errors such as StackOverflowError are handled like exceptions. */
-    private suspend fun handleFailure(
-        context: RoutingContext,
-        exchange: CallerExchange,
-        failure: Throwable,
-    ) {
-        val request = "${exchange.method} ${exchange.uri}"
-        logger.error("handler failed request={} workspace={}", request, exchange.workspace, failure)
-        if (context.response().headWritten()) {
-            context.response().reset()
-        } else {
-            exchange.refuse(CallerRefusal(RefusalReason.INTERNAL, RunState.UNKNOWN, RefusalReason.INTERNAL.explanation))
-        }
-    }
+    ): Unit = exchanges.launch(context, handle)
 
     private fun reasonOf(context: RoutingContext): RefusalReason =
         if (context.statusCode() == PAYLOAD_TOO_LARGE) RefusalReason.TOO_LARGE else RefusalReason.MALFORMED
@@ -140,6 +96,5 @@
     private companion object {
         const val MAXIMUM_BODY_BYTES = 1L shl 20
         const val PAYLOAD_TOO_LARGE = 413
-        val logger = LoggerFactory.getLogger(CallerServer::class.java)
     }
 }
