Simulate groups of processes that are out of step while versions change

Callers of other systems saw streams that were taken up at an entry which was out of step go on at another version. ResumptionSimulation only made one process at a time stale. It now also cuts off or freezes groups: a failure domain from the store and all others, or from the store only; entries that stand still, hear nobody, or lose the store and half of the others; all runners. It counts apart the take-ups at entries out of step.

--- a/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/ResumptionSimulation.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/ResumptionSimulation.kt
@@ -48,6 +48,7 @@
     private val random = Random(seed)
     private val time = VirtualTime(START)
     private val now: Instant get() = time.now
+    private var nextChange = START + FIRST_CHANGE
     private val outcome = ResumptionOutcome()
     private val fleet = SimulatedFleet(troubles, time, random, outcome)
     private val targets = SimulatedTargets(fleet, random, troubles.areAddressesKept, ::targetLost)
@@ -56,9 +57,11 @@
         fleet.start(targets.first(), isNew = seed % 2 == 0)
         time.every(1.seconds / troubles.streamsPerSecond) { begin() }
         time.every(CRASH_PAUSE) { targets.crash() }
-        time.after(FIRST_CHANGE + CHANGE_SPREAD * random.nextDouble()) {
-            targets.release()
-            time.every(CHANGE_PAUSE) { if (random.nextBoolean()) targets.release() else targets.tryVersion() }
+        if (troubles.group == null) {
+            time.after(FIRST_CHANGE + CHANGE_SPREAD * random.nextDouble()) {
+                targets.release()
+                time.every(CHANGE_PAUSE) { change() }
+            }
         }
         time.after(FIRST_KILL) { time.every(troubles.killPause) { kill() } }
         if (troubles.staleFor > Duration.ZERO) {
@@ -69,10 +72,27 @@
                 )
             }
         }
+        troubles.group?.let { time.after(GROUP_PAUSE) { disturb(it, 0) } }
         time.runUntil(START + troubles.length)
         return outcome
     }
 
+    private fun change(): Unit = if (random.nextBoolean()) targets.release() else targets.tryVersion()
+
+    /** Lets a group get out of step again and again, at times shortly before the versions change. */
+    private fun disturb(
+        trouble: GroupTrouble,
+        turn: Int,
+    ) {
+        if (now >= nextChange) {
+            nextChange = now + CHANGE_PAUSE
+            time.after(CHANGE_DELAY * random.nextDouble()) { change() }
+        }
+        val length = ResumptionTroubles.GROUP_TIMES[turn % ResumptionTroubles.GROUP_TIMES.size]
+        fleet.disturb(trouble, length)
+        time.after(length + GROUP_PAUSE) { disturb(trouble, turn + 1) }
+    }
+
     private fun begin() {
         val stream =
             SimulatedStream(
@@ -81,7 +101,7 @@
                 STREAM_TIME * (HALF + random.nextDouble()),
                 isNamed = random.nextInt(UNNAMED_DIVISOR) > 0,
             )
-        val entry = fleet.entries.randomOrNull(random) ?: return
+        val entry = fleet.entries.filterNot { it.isFrozen }.randomOrNull(random) ?: return
         outcome.streams++
         if (serve(stream, entry, null)) outcome.begun++
     }
@@ -138,7 +158,9 @@
         for (run in runs) {
             end(run)
             time.after(LOSS_NOTICED_TIME) {
-                if (!run.entry.isRunning || !serve(run.stream, run.entry, run.origin)) takeUp(run.stream)
+                run.entry.whenAwake {
+                    if (!run.entry.isRunning || !serve(run.stream, run.entry, run.origin)) takeUp(run.stream)
+                }
             }
         }
     }
@@ -166,7 +188,7 @@
     private fun takeUp(stream: SimulatedStream) {
         time.after(MINIMUM_CALLER_PAUSE + CALLER_PAUSE_SPREAD * random.nextDouble()) {
             if (stream.takeUps < TAKE_UPS && now - stream.startedAt <= CALLER_TIME) {
-                fleet.entries.randomOrNull(random)?.let { takeUp(stream, it) } ?: takeUp(stream)
+                fleet.entries.randomOrNull(random)?.let { it.whenAwake { takeUp(stream, it) } } ?: takeUp(stream)
             }
         }
     }
@@ -210,6 +232,8 @@
         if (resumption == Resumption.Unknown) outcome.unknown++
         if (isPossible) outcome.possible++
         if (isPossible && isContinued) outcome.continued++
+        if (isPossible && entry.isOutOfStep) outcome.possibleOutOfStep++
+        if (isPossible && isContinued && entry.isOutOfStep) outcome.continuedOutOfStep++
     }
 
     private companion object {
@@ -243,5 +267,7 @@
         /** Leaves times between changes at which there has been one version for as long as streams last. */
         val CHANGE_PAUSE = 18.seconds
         val STALE_PAUSE = 1.seconds
+        val GROUP_PAUSE = 1.seconds
+        val CHANGE_DELAY = 500.milliseconds
     }
 }
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/ResumptionTroubles.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/ResumptionTroubles.kt
@@ -1,6 +1,7 @@
 package tanagerlane.resumption
 
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** Processes that are killed at once. */
@@ -14,6 +15,7 @@
  * @property lossShare share of datagrams that are lost
  * @property staleFor time for which the view of one process at a time is not updated
  * @property isCut whether a process with a stale view exchanges no messages with the others either
+ * @property group how a group of processes gets out of step, or null; for each of [GROUP_TIMES] in turn
  * @property areAddressesKept whether a target that starts again with another version listens at the same address
  */
 internal data class ResumptionTroubles(
@@ -28,7 +30,12 @@
     val isCut: Boolean = false,
     val areAddressesKept: Boolean = false,
     val length: Duration = 50.seconds,
-)
+    val group: GroupTrouble? = null,
+) {
+    companion object {
+        val GROUP_TIMES = listOf(1.seconds, 2.seconds, 2900.milliseconds, 5.seconds)
+    }
+}
 
 /** What a simulated run has shown. */
 internal class ResumptionOutcome {
@@ -49,6 +56,12 @@
 
     /** Those of [possible] that went on. */
     var continued = 0
+
+    /** Those of [possible] at entries that are out of step, or were until shortly before. */
+    var possibleOutOfStep = 0
+
+    /** Those of [possibleOutOfStep] that went on. */
+    var continuedOutOfStep = 0
     var reports = 0
     var queries = 0
     var replies = 0
@@ -57,6 +70,14 @@
     val continuedShare: Double
         get() = if (possible == 0) 1.0 else continued.toDouble() / possible * streams / begun
 
+    /** As [continuedShare], at entries in step. */
+    val inStepShare: Double
+        get() = share(continued - continuedOutOfStep, possible - possibleOutOfStep)
+
+    /** As [continuedShare], at entries out of step. */
+    val outOfStepShare: Double
+        get() = share(continuedOutOfStep, possibleOutOfStep)
+
     operator fun plusAssign(other: ResumptionOutcome) {
         streams += other.streams
         begun += other.begun
@@ -65,6 +86,8 @@
         unknown += other.unknown
         possible += other.possible
         continued += other.continued
+        possibleOutOfStep += other.possibleOutOfStep
+        continuedOutOfStep += other.continuedOutOfStep
         reports += other.reports
         queries += other.queries
         replies += other.replies
@@ -83,5 +106,10 @@
                 reports.toDouble() / streams,
                 queries.toDouble() / streams,
                 replies.toDouble() / streams,
-            )
+            ) + ", in step %.3f, out of step %.3f of %d".format(inStepShare, outOfStepShare, possibleOutOfStep)
+
+    private fun share(
+        continued: Int,
+        possible: Int,
+    ): Double = if (possible == 0) 1.0 else continued.toDouble() / possible * streams / begun
 }
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/SimulatedFleet.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/SimulatedFleet.kt
@@ -29,6 +29,7 @@
     private val byHost = HashMap<HostName, SimulatedProcess>()
     private var queries = 0L
     private var hosts = 0
+    private var outOfStep: OutOfStep? = null
     val now: Instant get() = time.now
     val processes = ArrayList<SimulatedProcess>()
     val entries: List<SimulatedProcess> get() = processes.filter { it.role == HostRole.ENTRY && it.isRunning }
@@ -53,7 +54,7 @@
         }
         processes.forEach { it.see(stored) }
         time.every(OBSERVE_PAUSE) {
-            processes.forEach {
+            processes.filter { !it.isFrozen }.forEach {
                 it.observe()
                 it.learnVersions()
             }
@@ -95,18 +96,35 @@
             return
         }
         after(1.milliseconds + MAXIMUM_LATENCY * random.nextDouble()) {
-            byHost[to]?.takeIf { it.isRunning && !it.isCut }?.let(deliver)
+            byHost[to]?.takeIf { it.isRunning && !isSevered(from, it) }?.let { it.whenAwake { deliver(it) } }
         }
     }
 
+    /** Lets a group of processes get out of step as [trouble] tells for [length]. */
+    fun disturb(
+        trouble: GroupTrouble,
+        length: Duration,
+    ) {
+        val group = OutOfStep.draw(trouble, processes.filter { it.isRunning }, random)
+        outOfStep = group
+        group.members.forEach { if (group.areFrozen) it.freeze(length) else it.beStale(length, cut = false) }
+        after(length) { outOfStep = null }
+    }
+
+    private fun isSevered(
+        from: SimulatedProcess,
+        to: SimulatedProcess,
+    ): Boolean = to.isCut || outOfStep?.severs(from, to) ?: false
+
     /** Returns whether [observer] has lately heard [host]. */
     fun isReachable(
         host: HostName,
         observer: SimulatedProcess,
     ): Boolean {
         val process = byHost.getValue(host)
-        val isHeard = process.killedAt?.let { now - it < SILENCE_TIME } ?: !process.isCut
-        return isHeard && !observer.isCut && now - maxOf(observer.startedAt, process.startedAt) > CONTACT_TIME
+        val isHeard = process.killedAt?.let { now - it < SILENCE_TIME } ?: !isSevered(process, observer)
+        return isHeard && !observer.isCut && !process.isCut &&
+            now - maxOf(observer.startedAt, process.startedAt) > CONTACT_TIME
     }
 
     /** Returns up to [count] processes that [observer] has lately heard. */
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/SimulatedProcess.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/SimulatedProcess.kt
@@ -28,6 +28,8 @@
     val runs = LinkedHashSet<SimulatedRun>()
     private val open = HashMap<Long, OpenQuery>()
     private var staleSince: Instant? = null
+    private var frozenUntil: Instant? = null
+    private var outOfStepUntil = startedAt
 
     /** What this process has seen of the store. */
     var view = StoredState(-1, emptyList(), emptyList())
@@ -39,11 +41,15 @@
         private set
     val isRunning: Boolean get() = killedAt == null
     val isCurrent: Boolean get() = staleSince?.let { fleet.now - it <= MAXIMUM_TARGETS_AGE } ?: true
+    val isFrozen: Boolean get() = frozenUntil?.let { fleet.now < it } ?: false
+
+    /** Whether this process is out of step, or was until shortly before. */
+    val isOutOfStep: Boolean get() = staleSince != null || isFrozen || fleet.now < outOfStepUntil
 
     fun member() = Member(host, role, Incarnation(startedAt.toEpochMilliseconds()), domain, "10.0.0.1:7660")
 
     fun see(state: StoredState) {
-        if (isRunning && staleSince == null && state.number > view.number) {
+        if (isRunning && !isFrozen && staleSince == null && state.number > view.number) {
             view = state
             observe()
         }
@@ -62,6 +68,7 @@
     ) {
         staleSince = fleet.now
         isCut = cut
+        outOfStepUntil = fleet.now + time + RECOVERY_TIME
         fleet.after(time) {
             staleSince = null
             isCut = false
@@ -69,6 +76,27 @@
         }
     }
 
+    /** Stands still for [time]; what it reads first then is old, so that the view is updated some time later. */
+    fun freeze(time: Duration) {
+        val until = fleet.now + time
+        frozenUntil = until
+        outOfStepUntil = until + RECOVERY_TIME
+        fleet.after(time) {
+            staleSince = fleet.now
+            if (isRunning) observe()
+            fleet.after(CATCH_UP_TIME) {
+                staleSince = null
+                see(fleet.stored)
+            }
+        }
+    }
+
+    /** Does [action] now, or when this process goes on after it was frozen. */
+    fun whenAwake(action: () -> Unit) {
+        val pause = frozenUntil?.let { it - fleet.now } ?: Duration.ZERO
+        if (pause > Duration.ZERO) fleet.after(pause) { if (isRunning) action() } else action()
+    }
+
     fun began(
         attempt: RequestId,
         target: DirectTarget,
@@ -115,8 +143,10 @@
         asked.forEach { send(query, it) }
         fleet.after(REPEAT_AFTER) { if (!pending.isDone) (asked - pending.replies.keys).forEach { send(query, it) } }
         fleet.after(REPLY_TIMEOUT) {
-            open.remove(query.query)
-            pending.finish()
+            whenAwake {
+                open.remove(query.query)
+                pending.finish()
+            }
         }
     }
 
@@ -164,6 +194,8 @@
 
     private companion object {
         val MAXIMUM_TARGETS_AGE = 3.seconds
+        val RECOVERY_TIME = 500.milliseconds
+        val CATCH_UP_TIME = 400.milliseconds
         val REPEAT_AFTER = 30.milliseconds
         val REPLY_TIMEOUT = 100.milliseconds
         const val ASKED_ABOUT_VERSIONS = 3
