Let streams of unknown origin go on only once the targets are confirmed

Callers of other systems saw streams that were taken up at an entry which was out of step go on at another version. An entry that did not know where a stream had begun fell back on "one version only", by a view that was up to 3 s old, and one reply of a process with a view of the same age was enough. Two more claims went beyond what was known: the time of an outage counted as observed, although versions may have come and left in it, and an inferred origin was told to others as if it had been seen.

The claim is about the time up to the first event, which lies before the caller asks, and targets are listed before they serve. It now counts only once the object API has confirmed the targets later than the caller asked; one read serves all that wait. The history follows the changes: targets that came and left within an update are recorded, and a copy that replaces the view, or a deletion of a target that was never listed, is a gap. What another process claims counts up to the version of the targets that it tells; a process that has listed them later reads the changes in between. Inferred origins are told to nobody. The first listing of a starting process does not replace the views of the others, which would be such a gap.

Two cases of OriginDirectoryTest change. "told to a process without targets" is refused now: versions may have come and left before its first listing. "stale view" is "not confirmed", which holds for any age. The stand-ins for processes in LateReplyTest and UnheardKeeperTest tell the version of their targets, as processes do.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/resumption/OriginDirectory.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/resumption/OriginDirectory.kt
@@ -8,6 +8,7 @@
 import tanagerlane.model.ServiceName
 import tanagerlane.model.SoftwareVersion
 import tanagerlane.places.DirectTarget
+import tanagerlane.store.ObjectVersion
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
@@ -48,17 +49,19 @@
     /**
      * Records the [targets] that are in service at [now]; has to be called at least every [MAXIMUM_PAUSE].
      *
+     * @param at version of the targets, or null if it has not changed
      * @return streams of this process that have to be reported now, as their service is not known to have one version only
      */
     public fun observe(
         targets: Collection<DirectTarget>,
         now: Instant,
+        at: ObjectVersion? = null,
     ): List<StreamOrigin> {
         if (observedAt?.let { now - it > MAXIMUM_PAUSE } == true) {
             versions.forgetTimeBefore()
         }
         observedAt = now
-        versions.observe(targets, now)
+        versions.observe(targets, now, at)
         versions.forgetBefore(now - lifetime)
         origins.expire(lifetime, now)
         val mixed = targets.mapTo(HashSet()) { it.service }.filterTo(HashSet()) { isMixed(it, now) }
@@ -104,11 +107,12 @@
         OriginReply(
             host = own,
             query = query.query,
-            origin = query.attempt?.let { find(it, now) },
+            origin = query.attempt?.let { find(it, now) }?.takeIf(::isSeen),
             soleVersion = if (isCurrent) versions.soleVersion(query.service, lifetime, now) else null,
             versions = versions.versions(query.service, lifetime, now).take(MAXIMUM_TOLD_VERSIONS),
             period = lifetime,
             age = age,
+            at = versions.knownTo?.number,
         )
 
     /** Returns services of which other processes may know whether they had another version than now. */
@@ -132,7 +136,7 @@
             val age = reply.age ?: continue
             val period = reply.period ?: continue
             if (reply.soleVersion == version) {
-                versions.told(service, version, since = now - period, until = askedAt - age)
+                versions.told(service, version, now - period, until = askedAt - age, reply.at?.let(::ObjectVersion))
             }
         }
     }
@@ -149,32 +153,72 @@
      * @param attempt id of the client attempt that brought its first event, or null if the caller does not name it
      * @param service service at which it would go on
      * @param replies what other processes know
-     * @param isCurrent whether the targets in service are known as of lately
+     * @param isConfirmed whether the targets were confirmed later than the caller has asked, so that all versions are
+     * known that may have begun the stream
      * @param isIsolated whether other processes were asked and none has replied
+     * @param askedAt time of the query to which the replies came
      */
     public fun resolve(
         attempt: RequestId?,
         service: ServiceName,
         replies: Collection<OriginReply>,
-        isCurrent: Boolean,
+        isConfirmed: Boolean,
         now: Instant,
         isIsolated: Boolean = false,
+        askedAt: Instant = now,
     ): Resumption {
         attempt?.let { find(it, now) }?.let { return Resumption.At(it, OriginSource.OWN) }
-        replies.firstNotNullOfOrNull { it.origin?.takeUnless(::isDoubtful) }?.let { origin ->
+        told(replies).firstOrNull { !isDoubtful(it) }?.let { origin ->
             origins.record(origin, now, isOwn = false)
             return Resumption.At(origin, OriginSource.PEER)
         }
-        if (replies.any { it.origin != null }) {
+        if (told(replies).isNotEmpty() || !isConfirmed || isIsolated) {
             return Resumption.Unknown
         }
-        val own = if (isCurrent && !isIsolated) versions.soleVersion(service, lifetime, now) else null
-        val version = soleVersion(service, replies, own, now) ?: return Resumption.Unknown
+        val observed = versions.soleVersion(service, lifetime, now)
+        learn(service, replies, askedAt, now)
+        val known = versions.soleVersion(service, lifetime, now)
+        val version = known?.let { soleVersion(service, replies, it, now) } ?: return Resumption.Unknown
         val origin = StreamOrigin(attempt ?: UNNAMED, service, version)
-        attempt?.let { origins.record(origin, now, isOwn = true) }
-        return Resumption.At(origin, if (own != null) OriginSource.SOLE_VERSION else OriginSource.PEER_SOLE_VERSION)
+        attempt?.let { origins.record(origin, now, isOwn = false) }
+        val source = if (observed != null) OriginSource.SOLE_VERSION else OriginSource.PEER_SOLE_VERSION
+        return Resumption.At(origin, source)
     }
 
+    /** Whether a confirmation of the targets may show that the stream of [attempt] may go on, of which [replies] tell. */
+    public fun needsConfirmation(
+        attempt: RequestId?,
+        service: ServiceName,
+        replies: Collection<OriginReply>,
+        now: Instant,
+    ): Boolean =
+        attempt?.let { find(it, now) } == null &&
+            told(replies).isEmpty() &&
+            versions.versions(service, lifetime, now).size <= 1
+
+    /**
+     * Returns the version of the targets from which on changes are missing that lie between what [replies] tell of
+     * [service] and the first listing of this process, or null if none are missing or nothing is told.
+     */
+    public fun missingSince(
+        service: ServiceName,
+        replies: Collection<OriginReply>,
+        now: Instant,
+    ): ObjectVersion? =
+        replies
+            .filter { it.soleVersion != null }
+            .mapNotNull { it.at }
+            .maxOrNull()
+            ?.let(::ObjectVersion)
+            ?.takeUnless { versions.isKnownSince(it) || versions.soleVersion(service, lifetime, now) != null }
+
+    /** Returns the origins that [replies] tell, without those that their sender has inferred. */
+    private fun told(replies: Collection<OriginReply>): List<StreamOrigin> =
+        replies.mapNotNull { it.origin }.filter(::isSeen)
+
+    /** Whether [origin] was seen at a target; otherwise it was inferred from the versions in service. */
+    private fun isSeen(origin: StreamOrigin): Boolean = origin.target != null
+
     /** Whether the target of [origin] has started again with another version, so that either may have begun the stream. */
     public fun isDoubtful(origin: StreamOrigin): Boolean =
         origin.target?.let(versions::versionOf)?.let { it != origin.version } ?: false
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/resumption/VersionHistory.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/resumption/VersionHistory.kt
@@ -4,6 +4,7 @@
 import tanagerlane.model.SoftwareVersion
 import tanagerlane.model.TargetName
 import tanagerlane.places.DirectTarget
+import tanagerlane.store.ObjectVersion
 import kotlin.time.Duration
 import kotlin.time.Instant
 
@@ -14,17 +15,29 @@
     private var ofServices: Map<ServiceName, Set<SoftwareVersion>> = emptyMap()
     private var mixedServices: Set<ServiceName> = emptySet()
     private var completeSince: Instant? = null
+    private var completeFrom: ObjectVersion? = null
     private var hasForgotten = false
     private val toldSince = HashMap<ServiceName, Instant>()
 
-    /** Records the [targets] that are in service at [now], including those that are leaving. */
+    /** Version of the targets up to which all changes are known, or null before the first listing. */
+    public var knownTo: ObjectVersion? = null
+        private set
+
+    /**
+     * Records the [targets] that are in service at [now], including those that are leaving.
+     *
+     * @param at version of the targets, or null if it has not changed
+     */
     public fun observe(
         targets: Collection<DirectTarget>,
         now: Instant,
+        at: ObjectVersion? = null,
     ) {
+        knownTo = at ?: knownTo
         // Before the first listing is read no targets are known at all.
         if (targets.isNotEmpty()) {
             completeSince = completeSince ?: now
+            completeFrom = completeFrom ?: knownTo
         }
         current = targets.associate { it.name to it.version }
         // Versions that are gone now may have been in service until now.
@@ -34,6 +47,25 @@
         ofServices.forEach { (service, versions) -> record(service, versions, now) }
     }
 
+    /** Records that [targets] were in service at some time up to [now], of which some have left already. */
+    public fun observePassed(
+        targets: Collection<DirectTarget>,
+        now: Instant,
+    ): Unit = targets.forEach { record(it.service, setOf(it.version), now) }
+
+    /** Records that all changes since version [at] are known, in which only [targets] were listed. */
+    public fun extend(
+        targets: Collection<DirectTarget>,
+        at: ObjectVersion,
+        now: Instant,
+    ) {
+        observePassed(targets, now)
+        completeFrom = completeFrom?.let { minOf(it, at) }
+    }
+
+    /** Returns whether all changes of the targets since version [at] are known. */
+    public fun isKnownSince(at: ObjectVersion): Boolean = completeFrom?.let { it <= at } ?: false
+
     /**
      * Records that the deployment was new when this process started, so that no targets were in service before the first
      * ones observed; ignored once further versions may have been in service since.
@@ -48,6 +80,7 @@
     public fun forgetTimeBefore() {
         hasForgotten = true
         completeSince = null
+        completeFrom = null
         toldSince.clear()
     }
 
@@ -55,14 +88,18 @@
      * Records that another process knows of no version of [service] but [version] from [since] to [until].
      *
      * It counts only if this process has observed the targets ever after, so that nothing is unknown in between.
+     *
+     * @param at version of the targets up to which the other process knows, or null if it does not tell
      */
     public fun told(
         service: ServiceName,
         version: SoftwareVersion,
         since: Instant,
         until: Instant,
+        at: ObjectVersion? = null,
     ) {
-        if (completeSince?.let { it <= until } == true) {
+        val isContinued = if (at == null) completeSince?.let { it <= until } ?: false else isKnownSince(at)
+        if (isContinued) {
             record(service, setOf(version), until)
             toldSince.merge(service, since, ::minOf)
         }
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/views/ObjectView.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/views/ObjectView.kt
@@ -17,15 +17,19 @@
     val at: ObjectVersion = ObjectVersion.NONE,
     val objects: Map<String, ViewObject> = emptyMap(),
 ) {
+    /** What the latest update told of the time since the view before it; not part of the state. */
+    public var change: ViewChange = ViewChange.NONE
+        private set
+
     /** Whether the view contains a complete listing. */
     public val isComplete: Boolean get() = at > ObjectVersion.NONE
 
     /** Applies [update]; returns this view if it is not newer, and null if changes between the two are missing. */
     public fun updated(update: ViewUpdate): ObjectView? =
         when {
-            update.at <= at.number -> this
-            update.after == 0L -> copy(at = ObjectVersion(update.at), objects = withoutDeleted(update))
-            update.after <= at.number -> copy(at = ObjectVersion(update.at), objects = withChanges(update))
+            update.at <= at.number -> copy()
+            update.after == 0L -> replaced(update)
+            update.after <= at.number -> changed(update)
             else -> null
         }
 
@@ -36,6 +40,18 @@
     ): ViewUpdate =
         ViewUpdate(host = host, kind = kind, after = 0, at = at.number, objects = objects.values.toList(), age = age)
 
+    private fun replaced(update: ViewUpdate): ObjectView {
+        val replaced = copy(at = ObjectVersion(update.at), objects = withoutDeleted(update))
+        replaced.change = if (isComplete) ViewChange.UNKNOWN else ViewChange.NONE
+        return replaced
+    }
+
+    private fun changed(update: ViewUpdate): ObjectView {
+        val changed = copy(at = ObjectVersion(update.at), objects = withChanges(update))
+        changed.change = ViewChange.of(update, objects.keys, since = at)
+        return changed
+    }
+
     /** Applies the changes in their order, as one update may delete an object and create it again. */
     private fun withChanges(update: ViewUpdate): Map<String, ViewObject> {
         val changed = objects.toMutableMap()
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/OriginDirectoryTest.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/OriginDirectoryTest.kt
@@ -8,6 +8,7 @@
 import tanagerlane.message.StreamOrigin
 import tanagerlane.model.HostName
 import tanagerlane.model.RequestId
+import tanagerlane.store.ObjectVersion
 import kotlin.time.Duration.Companion.seconds
 
 class OriginDirectoryTest :
@@ -18,7 +19,7 @@
             val expected: Resumption,
             val replies: List<OriginReply> = emptyList(),
             val attempt: RequestId? = ATTEMPT,
-            val isCurrent: Boolean = true,
+            val isConfirmed: Boolean = true,
             val isIsolated: Boolean = false,
         )
 
@@ -46,7 +47,23 @@
                 listOf(reply(restarted), FROM_PEER),
             ),
             ResolveCase("one version", seen("v1"), At(SOLE, OriginSource.SOLE_VERSION)),
-            ResolveCase("one version, stale view", seen("v1"), UNKNOWN, isCurrent = false),
+            ResolveCase("one version, targets not confirmed", seen("v1"), UNKNOWN, isConfirmed = false),
+            ResolveCase(
+                "one version here and at others, targets not confirmed",
+                seen("v1"),
+                UNKNOWN,
+                listOf(reply(sole = "v1"), reply(sole = "v1")),
+                isConfirmed = false,
+            ),
+            ResolveCase(
+                "began elsewhere, targets not confirmed",
+                seen("v1"),
+                At(ORIGIN, OriginSource.PEER),
+                listOf(FROM_PEER),
+                isConfirmed = false,
+            ),
+            ResolveCase("inferred by a peer", seen("v1", "v2"), UNKNOWN, listOf(reply(SOLE))),
+            ResolveCase("inferred by a peer, one version", seen("v1"), SOLE_HERE, listOf(reply(SOLE))),
             ResolveCase(
                 "one version, attempt not named",
                 seen("v1"),
@@ -69,10 +86,23 @@
                 seen("v1"),
                 UNKNOWN,
                 listOf(reply(sole = "v2")),
-                isCurrent = false,
+                isConfirmed = false,
             ),
             ResolveCase("told to a fresh process", fresh("v1"), SOLE_TOLD, listOf(reply(), reply(sole = "v1"))),
-            ResolveCase("told to a process without targets", fresh(), SOLE_TOLD, listOf(reply(sole = "v1"))),
+            // Versions may have come and left between what was told and the first listing.
+            ResolveCase("told to a process without targets", fresh(), UNKNOWN, listOf(reply(sole = "v1"))),
+            ResolveCase(
+                "told up to an earlier version of the targets than the first listing",
+                fresh("v1"),
+                UNKNOWN,
+                listOf(reply(sole = "v1").copy(at = LISTED_AT.number - 1)),
+            ),
+            ResolveCase(
+                "told by a process that does not tell what it knows up to",
+                fresh("v1"),
+                UNKNOWN,
+                listOf(reply(sole = "v1").copy(at = null, age = null)),
+            ),
             ResolveCase(
                 "told for a shorter time than streams last",
                 fresh("v1"),
@@ -84,14 +114,14 @@
         ).forEach { case ->
             test("a stream goes on as expected: ${case.name}") {
                 val resumption =
-                    with(case) { directory.resolve(attempt, MODELS, replies, isCurrent, NOW, isIsolated) }
+                    with(case) { directory.resolve(attempt, MODELS, replies, isConfirmed, NOW, isIsolated) }
                 resumption shouldBe case.expected
             }
         }
 
         test("what was resolved is found without another query") {
             val directory = seen("v1", "v2")
-            directory.resolve(ATTEMPT, MODELS, listOf(FROM_PEER), isCurrent = true, NOW)
+            directory.resolve(ATTEMPT, MODELS, listOf(FROM_PEER), isConfirmed = true, NOW)
             directory.find(ATTEMPT, NOW) shouldBe ORIGIN
         }
 
@@ -105,6 +135,7 @@
                         soleVersion = version("v1").takeIf { isCurrent },
                         versions = listOf(version("v1")),
                         period = 10.seconds,
+                        at = LISTED_AT.number,
                     )
             }
         }
@@ -139,7 +170,7 @@
                 directory.observe(targets(listOf("v1", "v2")), at(second))
                 directory.size shouldBe size
             }
-            directory.resolve(ATTEMPT, MODELS, emptyList(), isCurrent = true, at(BEGUN_AT + 17)) shouldBe UNKNOWN
+            directory.resolve(ATTEMPT, MODELS, emptyList(), isConfirmed = true, at(BEGUN_AT + 17)) shouldBe UNKNOWN
         }
 
         test("the oldest streams are forgotten beyond the maximum") {
@@ -148,13 +179,14 @@
             val attempts = listOf("a1", "a2", "a3").map(::RequestId)
             attempts.forEach { directory.began(it, target("t-v1"), NOW) }
             directory.size shouldBe 2
-            attempts.map { directory.resolve(it, MODELS, emptyList(), isCurrent = true, NOW) == UNKNOWN } shouldBe
+            attempts.map { directory.resolve(it, MODELS, emptyList(), isConfirmed = true, NOW) == UNKNOWN } shouldBe
                 listOf(true, false, false)
         }
     }) {
     private companion object {
         const val BEGUN_AT = 19
         val NOW = at(BEGUN_AT + 1)
+        val LISTED_AT = ObjectVersion(100)
         val OWN = HostName("entry-1")
         val UNKNOWN = Resumption.Unknown
         val SOLE = StreamOrigin(ATTEMPT, MODELS, version("v1"))
@@ -167,15 +199,24 @@
         fun reply(
             origin: StreamOrigin? = null,
             sole: String? = null,
-        ) = OriginReply(HostName("peer"), query = 7, origin, sole?.let(::version))
+        ) = OriginReply(
+            HostName("peer"),
+            query = 7,
+            origin,
+            sole?.let(::version),
+            period = 10.seconds,
+            age = 0.seconds,
+            at = LISTED_AT.number,
+        )
 
         /** Has observed targets of [versions] at this time only. */
-        fun fresh(vararg versions: String) = OriginDirectory(OWN).apply { observe(targets(versions.toList()), NOW) }
+        fun fresh(vararg versions: String) =
+            OriginDirectory(OWN).apply { observe(targets(versions.toList()), NOW, LISTED_AT) }
 
         /** Has observed targets of [versions] for longer than streams last. */
         fun seen(vararg versions: String) =
             OriginDirectory(OWN).apply {
-                (0..20).forEach { observe(targets(versions.toList()), at(it)) }
+                (0..20).forEach { observe(targets(versions.toList()), at(it), LISTED_AT) }
             }
 
         /** Has forwarded the stream of [ATTEMPT] from a target of `v1` besides. */
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/OverlongAttemptTest.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/OverlongAttemptTest.kt
@@ -34,7 +34,7 @@
                 val resumed = OriginDirectory(HostName("entry-1"))
                 resumed.versions.assumeNothingBefore()
                 resumed.observe(listOf(target), now)
-                val outcome = resumed.resolve(attempt, target.service, emptyList(), isCurrent = true, now)
+                val outcome = resumed.resolve(attempt, target.service, emptyList(), isConfirmed = true, now)
                 (outcome as? Resumption.At)?.origin?.version shouldBe target.version
                 resumed.size shouldBe size
             }
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/ResumptionSimulation.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/ResumptionSimulation.kt
@@ -5,7 +5,6 @@
 import tanagerlane.message.StreamOrigin
 import tanagerlane.model.FailureDomain
 import tanagerlane.model.RequestId
-import tanagerlane.model.SoftwareVersion
 import tanagerlane.places.DirectTarget
 import tanagerlane.quarantine.VirtualTime
 import kotlin.random.Random
@@ -14,32 +13,6 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
-/** A stream at one target through one entry; [origin] is null before its first event. */
-internal class SimulatedRun(
-    val stream: SimulatedStream,
-    val entry: SimulatedProcess,
-    val target: SimulatedTarget,
-    var origin: StreamOrigin?,
-    val startedAt: Instant,
-) {
-    var isOver = false
-}
-
-/** A stream that a caller receives in one or more attempts. */
-internal class SimulatedStream(
-    val number: Int,
-    val startedAt: Instant,
-    var remaining: Duration,
-    val isNamed: Boolean,
-) {
-    /** Id of the attempt that brought the first event, or null before that. */
-    var attempt: RequestId? = null
-    var takeUps = 0
-
-    /** Versions that wrote its events. */
-    val versions = LinkedHashSet<SoftwareVersion>()
-}
-
 /** Callers that take up broken streams at entries in virtual time, each process with its own [OriginDirectory]. */
 internal class ResumptionSimulation(
     private val troubles: ResumptionTroubles,
@@ -210,22 +183,43 @@
         if (attempt != null && entry.directory.find(attempt, now) != null) {
             decide(stream, entry, null)
         } else {
-            entry.ask(attempt, service) { replies ->
-                if (entry.isRunning) decide(stream, entry, replies) else takeUp(stream)
+            val askedAt = now
+            entry.ask(attempt, service) { replies -> confirm(stream, entry, Replies(replies, askedAt)) }
+        }
+    }
+
+    private fun confirm(
+        stream: SimulatedStream,
+        entry: SimulatedProcess,
+        replies: Replies,
+    ) {
+        val attempt = stream.attempt?.takeIf { stream.isNamed }
+        val known = replies.replies.orEmpty()
+        val decideOrLeave = { isConfirmed: Boolean ->
+            if (entry.isRunning) decide(stream, entry, replies, isConfirmed) else takeUp(stream)
+        }
+        val isOfUse = entry.directory.needsConfirmation(attempt, SimulatedTargets.SERVICE, known, now)
+        if (entry.isRunning && !replies.isIsolated && isOfUse) {
+            entry.confirm { isConfirmed ->
+                if (isConfirmed) entry.readMissing(known) { decideOrLeave(true) } else decideOrLeave(false)
             }
+        } else {
+            decideOrLeave(false)
         }
     }
 
     private fun decide(
         stream: SimulatedStream,
         entry: SimulatedProcess,
-        replies: Collection<OriginReply>?,
+        replies: Replies?,
+        isConfirmed: Boolean = false,
     ) {
         val attempt = stream.attempt?.takeIf { stream.isNamed }
         val service = SimulatedTargets.SERVICE
-        val isIsolated = replies?.isEmpty() ?: false
-        val known = replies.orEmpty()
-        val resumption = entry.directory.resolve(attempt, service, known, entry.isCurrent, now, isIsolated)
+        val isIsolated = replies?.isIsolated ?: false
+        val known = replies?.replies.orEmpty()
+        val askedAt = replies?.askedAt ?: now
+        val resumption = entry.directory.resolve(attempt, service, known, isConfirmed, now, isIsolated, askedAt)
         val isPossible = targets.running(stream.versions.first()) > 1 && now - entry.startedAt >= SETTLED_TIME
         val isContinued = resumption is Resumption.At && serve(stream, entry, resumption.origin)
         outcome.takeUps++
@@ -236,6 +230,14 @@
         if (isPossible && isContinued && entry.isOutOfStep) outcome.continuedOutOfStep++
     }
 
+    /** What other processes have replied, or null without any that could be asked. */
+    private class Replies(
+        val replies: Collection<OriginReply>?,
+        val askedAt: Instant,
+    ) {
+        val isIsolated: Boolean get() = replies?.isEmpty() ?: false
+    }
+
     private companion object {
         val START = Instant.fromEpochSeconds(1_000_000)
         const val DOMAINS = 3
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/ResumptionTroubles.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/ResumptionTroubles.kt
@@ -64,6 +64,9 @@
     var continuedOutOfStep = 0
     var reports = 0
     var queries = 0
+
+    /** Reads of the store for take-ups; those at the same time are not counted as one. */
+    var reads = 0
     var replies = 0
 
     /** Share of [possible] that went on, divided by the share of new streams that began. */
@@ -90,6 +93,7 @@
         continuedOutOfStep += other.continuedOutOfStep
         reports += other.reports
         queries += other.queries
+        reads += other.reads
         replies += other.replies
     }
 
@@ -106,7 +110,8 @@
                 reports.toDouble() / streams,
                 queries.toDouble() / streams,
                 replies.toDouble() / streams,
-            ) + ", in step %.3f, out of step %.3f of %d".format(inStepShare, outOfStepShare, possibleOutOfStep)
+            ) + ", %.2f reads per take-up".format(reads.toDouble() / takeUps) +
+            ", in step %.3f, out of step %.3f of %d".format(inStepShare, outOfStepShare, possibleOutOfStep)
 
     private fun share(
         continued: Int,
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/SimulatedFleet.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/SimulatedFleet.kt
@@ -29,6 +29,7 @@
     private val byHost = HashMap<HostName, SimulatedProcess>()
     private var queries = 0L
     private var hosts = 0
+    private val history = ArrayList<StoredState>()
     private var outOfStep: OutOfStep? = null
     val now: Instant get() = time.now
     val processes = ArrayList<SimulatedProcess>()
@@ -45,6 +46,7 @@
         repeat(troubles.entries) { processes += process(HostRole.ENTRY, it) }
         repeat(troubles.runners) { processes += process(HostRole.BATCH, it) }
         stored = StoredState(1, targets, processes.map { it.member() })
+        history += stored
         // Only the process that registers first finds no other one registered.
         if (isNew) {
             processes
@@ -61,6 +63,16 @@
         }
     }
 
+    /** Returns the states that were stored after that of [number], up to the latest one. */
+    fun statesAfter(number: Int): List<StoredState> =
+        if (number <
+            0
+        ) {
+            emptyList()
+        } else {
+            history.subList(number, history.size)
+        }
+
     /** Stores a change, which each process sees with its own delay. */
     fun publish(
         targets: List<DirectTarget> = stored.targets,
@@ -68,6 +80,7 @@
     ) {
         val state = StoredState(stored.number + 1, targets, members)
         stored = state
+        history += state
         processes.forEach { after(MAXIMUM_VIEW_DELAY * random.nextDouble()) { it.see(state) } }
     }
 
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/SimulatedProcess.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/SimulatedProcess.kt
@@ -11,6 +11,7 @@
 import tanagerlane.model.RequestId
 import tanagerlane.model.ServiceName
 import tanagerlane.places.DirectTarget
+import tanagerlane.store.ObjectVersion
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -30,6 +31,7 @@
     private var staleSince: Instant? = null
     private var frozenUntil: Instant? = null
     private var outOfStepUntil = startedAt
+    private var hasOldMessages = false
 
     /** What this process has seen of the store. */
     var view = StoredState(-1, emptyList(), emptyList())
@@ -49,7 +51,12 @@
     fun member() = Member(host, role, Incarnation(startedAt.toEpochMilliseconds()), domain, "10.0.0.1:7660")
 
     fun see(state: StoredState) {
-        if (isRunning && !isFrozen && staleSince == null && state.number > view.number) {
+        if (!isFrozen && staleSince == null) update(state)
+    }
+
+    private fun update(state: StoredState) {
+        if (isRunning && state.number > view.number) {
+            fleet.statesAfter(view.number).forEach { directory.versions.observePassed(it.targets, fleet.now) }
             view = state
             observe()
         }
@@ -57,7 +64,7 @@
 
     fun observe() {
         if (isRunning) {
-            directory.observe(view.targets, fleet.now).forEach(::report)
+            directory.observe(view.targets, fleet.now, ObjectVersion(view.number.toLong())).forEach(::report)
         }
     }
 
@@ -83,8 +90,10 @@
         outOfStepUntil = until + RECOVERY_TIME
         fleet.after(time) {
             staleSince = fleet.now
+            hasOldMessages = true
             if (isRunning) observe()
             fleet.after(CATCH_UP_TIME) {
+                hasOldMessages = false
                 staleSince = null
                 see(fleet.stored)
             }
@@ -121,6 +130,35 @@
         if (asked.isEmpty()) done(null) else ask(asked, attempt, service, done)
     }
 
+    /** Reads the store, and passes whether that has succeeded to [done]. */
+    fun confirm(done: (Boolean) -> Unit) {
+        fleet.outcome.reads++
+        val reachesStore = !isFrozen && !isCut && (staleSince == null || hasOldMessages)
+        fleet.after(if (reachesStore) READ_TIME else CONFIRMATION_TIMEOUT) {
+            whenAwake {
+                if (reachesStore) update(fleet.stored)
+                done(reachesStore)
+            }
+        }
+    }
+
+    /** Reads the changes between what [replies] tell and the first listing of this process. */
+    fun readMissing(
+        replies: Collection<OriginReply>,
+        done: () -> Unit,
+    ) {
+        val since = directory.missingSince(SimulatedTargets.SERVICE, replies, fleet.now) ?: return done()
+        fleet.outcome.reads++
+        fleet.after(READ_TIME) {
+            whenAwake {
+                val listed = fleet.statesAfter(since.number.toInt()).flatMap { it.targets }.distinct()
+                val names = fleet.stored.targets.mapTo(HashSet()) { it.name }
+                if (listed.all { it.name in names }) directory.versions.extend(listed, since, fleet.now)
+                done()
+            }
+        }
+    }
+
     /** Asks a few processes about services of whose earlier versions this one does not know. */
     fun learnVersions() {
         if (!isRunning) return
@@ -196,6 +234,8 @@
         val MAXIMUM_TARGETS_AGE = 3.seconds
         val RECOVERY_TIME = 500.milliseconds
         val CATCH_UP_TIME = 400.milliseconds
+        val READ_TIME = 4.milliseconds
+        val CONFIRMATION_TIMEOUT = 300.milliseconds
         val REPEAT_AFTER = 30.milliseconds
         val REPLY_TIMEOUT = 100.milliseconds
         const val ASKED_ABOUT_VERSIONS = 3
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectDaemon.kt
@@ -89,7 +89,7 @@
     private val storage = JobStorage(storeRelay, settings.maximumValueBytes / VALUE_OVERHEAD)
     private val jobIndex = JobIndex(storage)
     private val resultsClient = ResultsClient(fleet::send)
-    private val resumption = StreamResumption(fleet, metrics, { targetSynchronizer.age() }, clock::now)
+    private val resumption = StreamResumption(fleet, metrics, deployment.targets, { targetSynchronizer }, clock::now)
     private val membership = Membership(deployment.store, fleet, clock::now, resumption::assumeNewDeployment)
     private val decodedConfigurations = DecodedObjects(deployment.configuration)
     private val homeRegions = HomeRegions(settings.domainRegions.associate { it.failureDomain to it.region })
@@ -100,7 +100,7 @@
         }
     private val targetRules = TargetRules(homeRegions, evacuations, resumption::mayContinue, resumption::isBound)
     private val targets =
-        TargetDirectory(deployment.targets, loadBalancer, targetClient, evacuations, resumption::observe, clock::now)
+        TargetDirectory(deployment.targets, loadBalancer, targetClient, evacuations, resumption, clock::now)
     private var configuration: ServingConfiguration? = null
     private var isLeaving = false
     private var stopPlan: StopPlan? = null
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectMetrics.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/DirectMetrics.kt
@@ -127,6 +127,9 @@
     fun resumed(outcome: String): Counter =
         Counter.builder("tanagerlane.streams.resumed").tag("outcome", outcome).register(registry)
 
+    /** Counts reads of the targets that have to show with which version a resumed stream began. */
+    val targetConfirmations: Counter = Counter.builder("tanagerlane.targets.confirmations").register(registry)
+
     /** Returns the counter of runs of batch items with earlier events that go on as [continuation] tells. */
     fun continuations(continuation: ItemContinuation): Counter = continuations.getValue(continuation)
 
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/StreamResumption.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/StreamResumption.kt
@@ -1,6 +1,8 @@
 package tanagerlane.direct
 
+import com.github.michaelbull.result.get
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
 import tanagerlane.message.OriginQuery
 import tanagerlane.message.OriginReply
@@ -15,7 +17,7 @@
 import tanagerlane.resumption.Resumption
 import tanagerlane.serving.RouteKind
 import tanagerlane.serving.ServingConfiguration
-import kotlin.time.Duration
+import tanagerlane.store.ObjectVersion
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
@@ -23,17 +25,19 @@
 /**
  * Lets streams go on only at the software version that began them; see [OriginDirectory].
  *
- * @param targetsAge returns the time since the targets in service were last confirmed, or null before that
+ * @param source decodes targets
+ * @param targets returns the view of the targets
  */
 internal class StreamResumption(
     private val fleet: Fleet,
     private val metrics: DirectMetrics,
-    private val targetsAge: () -> Duration?,
+    private val source: ViewSource<DirectTarget>,
+    private val targets: () -> ViewSynchronizer,
     private val now: () -> Instant,
 ) {
     private val directory = OriginDirectory(fleet.ownHost)
     private val queries = OriginQueries(fleet)
-    private val isCurrent: Boolean get() = targetsAge()?.let { it <= MAXIMUM_TARGETS_AGE } ?: false
+    private val isCurrent: Boolean get() = targets().age()?.let { it <= MAXIMUM_TARGETS_AGE } ?: false
 
     /** Records that no process was registered when this one started, so that no stream began before. */
     fun assumeNewDeployment(): Unit = directory.versions.assumeNothingBefore()
@@ -46,8 +50,23 @@
             ?.let(directory::allowTimeout)
     }
 
-    /** Records the [targets] that are in service. */
-    fun observe(targets: Collection<DirectTarget>): Unit = report(directory.observe(targets, now()))
+    /** Records the [targets] that are in service, at version [at] if that has changed. */
+    fun observe(
+        targets: Collection<DirectTarget>,
+        at: ObjectVersion?,
+    ): Unit = report(directory.observe(targets, now(), at))
+
+    /** Records [targets] that were in service, and whether no other ones have been since the last observation. */
+    fun observePassed(
+        targets: Collection<DirectTarget>,
+        areAll: Boolean,
+    ) {
+        if (!areAll) {
+            logger.info("versions forgotten cause=targets_came_and_left_unseen")
+            directory.versions.forgetTimeBefore()
+        }
+        directory.versions.observePassed(targets, now())
+    }
 
     /** Records that [target] has written the first event of the answer to [request], before the event is forwarded. */
     fun began(
@@ -79,14 +98,20 @@
         val attempt = request.exchange.resumedAttempt?.let(::RequestId)
         val service = request.route.serviceFor(attempt ?: RequestId(request.id)) ?: request.service
         val known = attempt?.let { directory.find(it, now()) }
+        val askedAt = now()
         val replies = if (known == null) ask(attempt, service) else null
         val isIsolated = replies?.isEmpty() ?: false
-        val resumption = directory.resolve(attempt, service, replies.orEmpty(), isCurrent, now(), isIsolated)
+        val isConfirmed =
+            !isIsolated &&
+                directory.needsConfirmation(attempt, service, replies.orEmpty(), now()) &&
+                confirmTargets(service, replies.orEmpty())
+        val resumption =
+            directory.resolve(attempt, service, replies.orEmpty(), isConfirmed, now(), isIsolated, askedAt)
         val resumed = resumption as? Resumption.At
         val outcome = resumed?.source?.name?.lowercase() ?: "unknown"
         metrics.resumed(outcome).increment()
         logger.info(
-            "stream resumed by caller request={} resumes={} last_event={} outcome={} version={} begun={} age={} replies={}",
+            "stream resumed by caller request={} resumes={} last_event={} outcome={} version={} begun={} age={} replies={} confirmed={}",
             request.id,
             attempt,
             request.lastEvent,
@@ -95,6 +120,7 @@
             resumed?.origin?.target,
             resumed?.origin?.age,
             replies?.size,
+            isConfirmed,
         )
         val origin = resumed?.origin ?: return false
         if (request.route.services.none { it.service == origin.service }) {
@@ -110,7 +136,7 @@
 
     /** Answers [query] of another process. */
     fun received(query: OriginQuery): Unit =
-        fleet.send(listOf(query.host), directory.reply(query, isCurrent, now(), targetsAge()))
+        fleet.send(listOf(query.host), directory.reply(query, isCurrent, now(), targets().age()))
 
     /** Passes [reply] to the query that it answers. */
     fun received(reply: OriginReply): Unit = queries.received(reply)
@@ -148,6 +174,30 @@
         }
     }
 
+    /**
+     * Returns whether the object API confirms the targets within [CONFIRMATION_TIMEOUT].
+     *
+     * Reads what has changed since the time of which [replies] tell, too, if this process has not listed the targets then.
+     */
+    private suspend fun confirmTargets(
+        service: ServiceName,
+        replies: Collection<OriginReply>,
+    ): Boolean =
+        withTimeoutOrNull(CONFIRMATION_TIMEOUT) {
+            metrics.targetConfirmations.increment()
+            val isConfirmed = targets().confirm()
+            if (isConfirmed) directory.missingSince(service, replies, now())?.let { readSince(it) }
+            isConfirmed
+        } ?: false
+
+    private suspend fun readSince(at: ObjectVersion) {
+        metrics.targetConfirmations.increment()
+        val change = targets().changesSince(at)
+        if (change != null && change.unknownDeletions.isEmpty()) {
+            directory.versions.extend(change.written.mapNotNull { source.decode(it).get() }, at, now())
+        }
+    }
+
     /** Returns what the keepers of the stream reply, or null without keepers. */
     private suspend fun ask(
         attempt: RequestId?,
@@ -162,6 +212,9 @@
         /** Age up to which the targets in service tell that there is one version only. */
         val MAXIMUM_TARGETS_AGE = 3.seconds
 
+        /** Time for a read of the targets while a stream waits. */
+        val CONFIRMATION_TIMEOUT = 300.milliseconds
+
         /** Processes that are asked about each service at a time; they tell others in turn. */
         const val ASKED_ABOUT_VERSIONS = 3
         val MINIMUM_LEARNING_PAUSE = 250.milliseconds
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ViewSynchronizer.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ViewSynchronizer.kt
@@ -1,6 +1,7 @@
 package tanagerlane.direct
 
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.map
 import kotlinx.coroutines.delay
@@ -15,6 +16,7 @@
 import tanagerlane.store.ObjectVersion
 import tanagerlane.store.StoreFailure
 import tanagerlane.views.ObjectView
+import tanagerlane.views.ViewChange
 import tanagerlane.views.WatcherSelection
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -34,9 +36,11 @@
     private val now: () -> Instant,
     private val onChange: (ObjectView) -> Unit,
 ) {
+    private val confirmations = SharedReads(CONFIRMATION_PAUSE, now, ::read)
     private val watcherSelection = WatcherSelection(fleet.ownHost, WATCHERS, times.updateTimeout)
     private var retryPause = MINIMUM_RETRY_PAUSE
     private var isStoreUnavailable = false
+    private var isCopyRequested = false
 
     /** The latest known state of the objects. */
     var view = ObjectView(kind)
@@ -68,10 +72,16 @@
         from: HostName,
         update: ViewUpdate,
     ) {
+        // Processes that start send their first listing to all others.
+        if (update.after == 0L && times.keepsHistory && view.isComplete && !isCopyRequested) {
+            return
+        }
         val updated = view.updated(update)
         if (updated == null) {
+            isCopyRequested = true
             fleet.send(from, ViewRequest(kind))
         } else {
+            if (update.after == 0L) isCopyRequested = false
             accept(updated, update.age)
         }
     }
@@ -84,9 +94,39 @@
         }
     }
 
+    /**
+     * Reads the objects once more, for all that wait.
+     *
+     * @return whether the object API has answered a read that began later than this call
+     */
+    suspend fun confirm(): Boolean = confirmations.read()
+
+    /** Returns what has changed since version [at] up to a time later than this call, or null if that is not known. */
+    suspend fun changesSince(at: ObjectVersion): ViewChange? =
+        watch(at, Duration.ZERO)
+            .map { ViewChange.of(it, view.objects.keys, since = at) }
+            .getOrElse { failure ->
+                logger.info("changes not read kind={} since={} cause={}", kind, at, failure)
+                null
+            }
+
+    private suspend fun read(): Boolean {
+        val result = if (view.isComplete) watch(view.at, Duration.ZERO) else list()
+        return result.fold(
+            success = { update ->
+                view.updated(update)?.let { accept(it, update.age) }
+                true
+            },
+            failure = { failure ->
+                logger.info("view not confirmed kind={} at={} cause={}", kind, view.at, failure)
+                false
+            },
+        )
+    }
+
     private suspend fun poll() {
         val before = view.at
-        val result = if (view.isComplete) watch(before) else list()
+        val result = if (view.isComplete) watch(before, times.watchTimeout) else list()
         val update =
             result.getOrElse { failure ->
                 onStoreFailure(failure)
@@ -97,8 +137,10 @@
         delay(times.pause)
     }
 
-    private suspend fun watch(after: ObjectVersion): Result<ViewUpdate, StoreFailure> =
-        store.watch("$kind/", after, times.watchTimeout).map { updateOf(after, it) }
+    private suspend fun watch(
+        after: ObjectVersion,
+        wait: Duration,
+    ): Result<ViewUpdate, StoreFailure> = store.watch("$kind/", after, wait).map { updateOf(after, it) }
 
     private suspend fun list(): Result<ViewUpdate, StoreFailure> = store.list("$kind/").map(::updateOf)
 
@@ -144,7 +186,10 @@
     }
 
     private fun requestCopy() {
-        fleet.reachable.randomOrNull()?.let { fleet.send(it, ViewRequest(kind)) }
+        fleet.reachable.randomOrNull()?.let {
+            isCopyRequested = true
+            fleet.send(it, ViewRequest(kind))
+        }
     }
 
     /** Whether the object API and the other processes have confirmed nothing for longer than they should take. */
@@ -188,6 +233,9 @@
 
         /** Time between two checks whether this process is selected as a watcher. */
         val SELECTION_INTERVAL = 200.milliseconds
+
+        /** Least time between two reads that confirm the view. */
+        val CONFIRMATION_PAUSE = 50.milliseconds
         val MINIMUM_RETRY_PAUSE = 100.milliseconds
         val MAXIMUM_RETRY_PAUSE = 1.seconds
         val logger = LoggerFactory.getLogger(ViewSynchronizer::class.java)
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/LateReplyTest.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/LateReplyTest.kt
@@ -41,6 +41,8 @@
                                 soleVersion = version,
                                 versions = listOf(version),
                                 period = 60.seconds,
+                                age = Duration.ZERO,
+                                at = Long.MAX_VALUE,
                             )
                         vertx.setTimer(delay.inWholeMilliseconds) { transport?.send(reply, listOf(sender)) }
                     }
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/UnheardKeeperTest.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/UnheardKeeperTest.kt
@@ -12,6 +12,7 @@
 import tanagerlane.model.HostName
 import tanagerlane.model.SoftwareVersion
 import tanagerlane.wire.WireAddress
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 /** Guards against resumed streams that are decided before a process replies which the entry has not heard yet. */
@@ -40,6 +41,8 @@
                                 soleVersion = seen.singleOrNull(),
                                 versions = seen,
                                 period = 60.seconds,
+                                age = Duration.ZERO,
+                                at = Long.MAX_VALUE,
                             )
                         vertx.setTimer(delay) { transport?.send(reply, listOf(sender)) }
                     } else if (isHeard) {
