--- a/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/ResumptionSimulation.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/ResumptionSimulation.kt
@@ -5,7 +5,6 @@
 import tanagerlane.message.StreamOrigin
 import tanagerlane.model.FailureDomain
 import tanagerlane.model.RequestId
-import tanagerlane.model.SoftwareVersion
 import tanagerlane.places.DirectTarget
 import tanagerlane.quarantine.VirtualTime
 import kotlin.random.Random
@@ -14,32 +13,6 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
-/** A stream at one target through one entry; [origin] is null before its first event. */
-internal class SimulatedRun(
-    val stream: SimulatedStream,
-    val entry: SimulatedProcess,
-    val target: SimulatedTarget,
-    var origin: StreamOrigin?,
-    val startedAt: Instant,
-) {
-    var isOver = false
-}
-
-/** A stream that a caller receives in one or more attempts. */
-internal class SimulatedStream(
-    val number: Int,
-    val startedAt: Instant,
-    var remaining: Duration,
-    val isNamed: Boolean,
-) {
-    /** Id of the attempt that brought the first event, or null before that. */
-    var attempt: RequestId? = null
-    var takeUps = 0
-
-    /** Versions that wrote its events. */
-    val versions = LinkedHashSet<SoftwareVersion>()
-}
-
 /** Callers that take up broken streams at entries in virtual time, each process with its own [OriginDirectory]. */
 internal class ResumptionSimulation(
     private val troubles: ResumptionTroubles,
@@ -48,6 +21,7 @@
     private val random = Random(seed)
     private val time = VirtualTime(START)
     private val now: Instant get() = time.now
+    private var nextChange = START + FIRST_CHANGE
     private val outcome = ResumptionOutcome()
     private val fleet = SimulatedFleet(troubles, time, random, outcome)
     private val targets = SimulatedTargets(fleet, random, troubles.areAddressesKept, ::targetLost)
@@ -56,9 +30,11 @@
         fleet.start(targets.first(), isNew = seed % 2 == 0)
         time.every(1.seconds / troubles.streamsPerSecond) { begin() }
         time.every(CRASH_PAUSE) { targets.crash() }
-        time.after(FIRST_CHANGE + CHANGE_SPREAD * random.nextDouble()) {
-            targets.release()
-            time.every(CHANGE_PAUSE) { if (random.nextBoolean()) targets.release() else targets.tryVersion() }
+        if (troubles.group == null) {
+            time.after(FIRST_CHANGE + CHANGE_SPREAD * random.nextDouble()) {
+                targets.release()
+                time.every(CHANGE_PAUSE) { change() }
+            }
         }
         time.after(FIRST_KILL) { time.every(troubles.killPause) { kill() } }
         if (troubles.staleFor > Duration.ZERO) {
@@ -69,10 +45,27 @@
                 )
             }
         }
+        troubles.group?.let { time.after(GROUP_PAUSE) { disturb(it, 0) } }
         time.runUntil(START + troubles.length)
         return outcome
     }
 
+    private fun change(): Unit = if (random.nextBoolean()) targets.release() else targets.tryVersion()
+
+    /** Lets a group get out of step again and again, at times shortly before the versions change. */
+    private fun disturb(
+        trouble: GroupTrouble,
+        turn: Int,
+    ) {
+        if (now >= nextChange) {
+            nextChange = now + CHANGE_PAUSE
+            time.after(CHANGE_DELAY * random.nextDouble()) { change() }
+        }
+        val length = ResumptionTroubles.GROUP_TIMES[turn % ResumptionTroubles.GROUP_TIMES.size]
+        fleet.disturb(trouble, length)
+        time.after(length + GROUP_PAUSE) { disturb(trouble, turn + 1) }
+    }
+
     private fun begin() {
         val stream =
             SimulatedStream(
@@ -81,7 +74,7 @@
                 STREAM_TIME * (HALF + random.nextDouble()),
                 isNamed = random.nextInt(UNNAMED_DIVISOR) > 0,
             )
-        val entry = fleet.entries.randomOrNull(random) ?: return
+        val entry = fleet.entries.filterNot { it.isFrozen }.randomOrNull(random) ?: return
         outcome.streams++
         if (serve(stream, entry, null)) outcome.begun++
     }
@@ -138,7 +131,9 @@
         for (run in runs) {
             end(run)
             time.after(LOSS_NOTICED_TIME) {
-                if (!run.entry.isRunning || !serve(run.stream, run.entry, run.origin)) takeUp(run.stream)
+                run.entry.whenAwake {
+                    if (!run.entry.isRunning || !serve(run.stream, run.entry, run.origin)) takeUp(run.stream)
+                }
             }
         }
     }
@@ -166,7 +161,7 @@
     private fun takeUp(stream: SimulatedStream) {
         time.after(MINIMUM_CALLER_PAUSE + CALLER_PAUSE_SPREAD * random.nextDouble()) {
             if (stream.takeUps < TAKE_UPS && now - stream.startedAt <= CALLER_TIME) {
-                fleet.entries.randomOrNull(random)?.let { takeUp(stream, it) } ?: takeUp(stream)
+                fleet.entries.randomOrNull(random)?.let { it.whenAwake { takeUp(stream, it) } } ?: takeUp(stream)
             }
         }
     }
@@ -188,28 +183,59 @@
         if (attempt != null && entry.directory.find(attempt, now) != null) {
             decide(stream, entry, null)
         } else {
-            entry.ask(attempt, service) { replies ->
-                if (entry.isRunning) decide(stream, entry, replies) else takeUp(stream)
+            val askedAt = now
+            entry.ask(attempt, service) { replies -> confirm(stream, entry, Replies(replies, askedAt)) }
+        }
+    }
+
+    private fun confirm(
+        stream: SimulatedStream,
+        entry: SimulatedProcess,
+        replies: Replies,
+    ) {
+        val attempt = stream.attempt?.takeIf { stream.isNamed }
+        val known = replies.replies.orEmpty()
+        val decideOrLeave = { isConfirmed: Boolean ->
+            if (entry.isRunning) decide(stream, entry, replies, isConfirmed) else takeUp(stream)
+        }
+        val isOfUse = entry.directory.needsConfirmation(attempt, SimulatedTargets.SERVICE, known, now)
+        if (entry.isRunning && !replies.isIsolated && isOfUse) {
+            entry.confirm { isConfirmed ->
+                if (isConfirmed) entry.readMissing(known) { decideOrLeave(true) } else decideOrLeave(false)
             }
+        } else {
+            decideOrLeave(false)
         }
     }
 
     private fun decide(
         stream: SimulatedStream,
         entry: SimulatedProcess,
-        replies: Collection<OriginReply>?,
+        replies: Replies?,
+        isConfirmed: Boolean = false,
     ) {
         val attempt = stream.attempt?.takeIf { stream.isNamed }
         val service = SimulatedTargets.SERVICE
-        val isIsolated = replies?.isEmpty() ?: false
-        val known = replies.orEmpty()
-        val resumption = entry.directory.resolve(attempt, service, known, entry.isCurrent, now, isIsolated)
+        val isIsolated = replies?.isIsolated ?: false
+        val known = replies?.replies.orEmpty()
+        val askedAt = replies?.askedAt ?: now
+        val resumption = entry.directory.resolve(attempt, service, known, isConfirmed, now, isIsolated, askedAt)
         val isPossible = targets.running(stream.versions.first()) > 1 && now - entry.startedAt >= SETTLED_TIME
         val isContinued = resumption is Resumption.At && serve(stream, entry, resumption.origin)
         outcome.takeUps++
         if (resumption == Resumption.Unknown) outcome.unknown++
         if (isPossible) outcome.possible++
         if (isPossible && isContinued) outcome.continued++
+        if (isPossible && entry.isOutOfStep) outcome.possibleOutOfStep++
+        if (isPossible && isContinued && entry.isOutOfStep) outcome.continuedOutOfStep++
+    }
+
+    /** What other processes have replied, or null without any that could be asked. */
+    private class Replies(
+        val replies: Collection<OriginReply>?,
+        val askedAt: Instant,
+    ) {
+        val isIsolated: Boolean get() = replies?.isEmpty() ?: false
     }
 
     private companion object {
@@ -243,5 +269,7 @@
         /** Leaves times between changes at which there has been one version for as long as streams last. */
         val CHANGE_PAUSE = 18.seconds
         val STALE_PAUSE = 1.seconds
+        val GROUP_PAUSE = 1.seconds
+        val CHANGE_DELAY = 500.milliseconds
     }
 }
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/SimulatedProcess.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/SimulatedProcess.kt
@@ -11,6 +11,7 @@
 import tanagerlane.model.RequestId
 import tanagerlane.model.ServiceName
 import tanagerlane.places.DirectTarget
+import tanagerlane.store.ObjectVersion
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -28,6 +29,9 @@
     val runs = LinkedHashSet<SimulatedRun>()
     private val open = HashMap<Long, OpenQuery>()
     private var staleSince: Instant? = null
+    private var frozenUntil: Instant? = null
+    private var outOfStepUntil = startedAt
+    private var hasOldMessages = false
 
     /** What this process has seen of the store. */
     var view = StoredState(-1, emptyList(), emptyList())
@@ -39,11 +43,20 @@
         private set
     val isRunning: Boolean get() = killedAt == null
     val isCurrent: Boolean get() = staleSince?.let { fleet.now - it <= MAXIMUM_TARGETS_AGE } ?: true
+    val isFrozen: Boolean get() = frozenUntil?.let { fleet.now < it } ?: false
+
+    /** Whether this process is out of step, or was until shortly before. */
+    val isOutOfStep: Boolean get() = staleSince != null || isFrozen || fleet.now < outOfStepUntil
 
     fun member() = Member(host, role, Incarnation(startedAt.toEpochMilliseconds()), domain, "10.0.0.1:7660")
 
     fun see(state: StoredState) {
-        if (isRunning && staleSince == null && state.number > view.number) {
+        if (!isFrozen && staleSince == null) update(state)
+    }
+
+    private fun update(state: StoredState) {
+        if (isRunning && state.number > view.number) {
+            fleet.statesAfter(view.number).forEach { directory.versions.observePassed(it.targets, fleet.now) }
             view = state
             observe()
         }
@@ -51,7 +64,7 @@
 
     fun observe() {
         if (isRunning) {
-            directory.observe(view.targets, fleet.now).forEach(::report)
+            directory.observe(view.targets, fleet.now, ObjectVersion(view.number.toLong())).forEach(::report)
         }
     }
 
@@ -62,6 +75,7 @@
     ) {
         staleSince = fleet.now
         isCut = cut
+        outOfStepUntil = fleet.now + time + RECOVERY_TIME
         fleet.after(time) {
             staleSince = null
             isCut = false
@@ -69,6 +83,29 @@
         }
     }
 
+    /** Stands still for [time]; what it reads first then is old, so that the view is updated some time later. */
+    fun freeze(time: Duration) {
+        val until = fleet.now + time
+        frozenUntil = until
+        outOfStepUntil = until + RECOVERY_TIME
+        fleet.after(time) {
+            staleSince = fleet.now
+            hasOldMessages = true
+            if (isRunning) observe()
+            fleet.after(CATCH_UP_TIME) {
+                hasOldMessages = false
+                staleSince = null
+                see(fleet.stored)
+            }
+        }
+    }
+
+    /** Does [action] now, or when this process goes on after it was frozen. */
+    fun whenAwake(action: () -> Unit) {
+        val pause = frozenUntil?.let { it - fleet.now } ?: Duration.ZERO
+        if (pause > Duration.ZERO) fleet.after(pause) { if (isRunning) action() } else action()
+    }
+
     fun began(
         attempt: RequestId,
         target: DirectTarget,
@@ -93,6 +130,35 @@
         if (asked.isEmpty()) done(null) else ask(asked, attempt, service, done)
     }
 
+    /** Reads the store, and passes whether that has succeeded to [done]. */
+    fun confirm(done: (Boolean) -> Unit) {
+        fleet.outcome.reads++
+        val reachesStore = !isFrozen && !isCut && (staleSince == null || hasOldMessages)
+        fleet.after(if (reachesStore) READ_TIME else CONFIRMATION_TIMEOUT) {
+            whenAwake {
+                if (reachesStore) update(fleet.stored)
+                done(reachesStore)
+            }
+        }
+    }
+
+    /** Reads the changes between what [replies] tell and the first listing of this process. */
+    fun readMissing(
+        replies: Collection<OriginReply>,
+        done: () -> Unit,
+    ) {
+        val since = directory.missingSince(SimulatedTargets.SERVICE, replies, fleet.now) ?: return done()
+        fleet.outcome.reads++
+        fleet.after(READ_TIME) {
+            whenAwake {
+                val listed = fleet.statesAfter(since.number.toInt()).flatMap { it.targets }.distinct()
+                val names = fleet.stored.targets.mapTo(HashSet()) { it.name }
+                if (listed.all { it.name in names }) directory.versions.extend(listed, since, fleet.now)
+                done()
+            }
+        }
+    }
+
     /** Asks a few processes about services of whose earlier versions this one does not know. */
     fun learnVersions() {
         if (!isRunning) return
@@ -115,8 +181,10 @@
         asked.forEach { send(query, it) }
         fleet.after(REPEAT_AFTER) { if (!pending.isDone) (asked - pending.replies.keys).forEach { send(query, it) } }
         fleet.after(REPLY_TIMEOUT) {
-            open.remove(query.query)
-            pending.finish()
+            whenAwake {
+                open.remove(query.query)
+                pending.finish()
+            }
         }
     }
 
@@ -164,6 +232,10 @@
 
     private companion object {
         val MAXIMUM_TARGETS_AGE = 3.seconds
+        val RECOVERY_TIME = 500.milliseconds
+        val CATCH_UP_TIME = 400.milliseconds
+        val READ_TIME = 4.milliseconds
+        val CONFIRMATION_TIMEOUT = 300.milliseconds
         val REPEAT_AFTER = 30.milliseconds
         val REPLY_TIMEOUT = 100.milliseconds
         const val ASKED_ABOUT_VERSIONS = 3
