Test take-ups at entries that stood still during a release

Reported from other systems: streams that began at targets of a new version through other entries broke, were taken up at an entry that had stood still and went on at a target of another version.

--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/EntryProcess.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/EntryProcess.kt
@@ -30,6 +30,9 @@
     /** Port for callers. */
     val port: Int get() = ports.first()
 
+    /** Port for other processes. */
+    val wirePort: Int get() = ports[1]
+
     /** Starts the process, with the same name and ports each time. */
     fun start() {
         check(process?.isAlive != true) { "$name is running" }
@@ -58,6 +61,18 @@
         process?.destroyForcibly()
     }
 
+    /** Stops the process from running until [thaw]; its sockets still receive. */
+    fun freeze(): Unit = signal("STOP")
+
+    /** Lets a process that was frozen go on. */
+    fun thaw(): Unit = signal("CONT")
+
+    private fun signal(name: String) {
+        val pid = checkNotNull(process) { "${this.name} has not started" }.pid()
+        val status = ProcessBuilder("kill", "-$name", "$pid").start().waitFor()
+        check(status == 0) { "kill -$name $pid ended with status $status" }
+    }
+
     /** Waits until a process that was killed has ended. */
     fun awaitEnd() {
         val hasEnded = process?.waitFor(STOP_SECONDS, TimeUnit.SECONDS) ?: true
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/StreamCaller.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/StreamCaller.kt
@@ -22,12 +22,14 @@
  * @property name also the body of its requests and the beginning of their ids
  * @param ports ports of the entries, in the order in which they are called
  * @param repeatsEntry whether the first entry is also the first at which the stream is taken up
+ * @param takeUpTime time from the first broken or refused answer for which entries are called again
  */
 internal class StreamCaller(
     val name: String,
     private val ports: List<Int>,
     private val repeatsEntry: Boolean,
     private val client: HttpClient,
+    private val takeUpTime: Duration = TAKE_UP_TIME,
 ) {
     /** Events received over all attempts, in the order of their arrival. */
     val events = CopyOnWriteArrayList<Event>()
@@ -43,12 +45,12 @@
     /** Whether the stream broke after some events and was asked for again. */
     val isTakenUp: Boolean get() = attempts.any { it.isTakeUp }
 
-    /** Calls entries until an answer has ended regularly, or for [TAKE_UP_TIME] from the first broken or refused one. */
+    /** Calls entries until an answer has ended regularly, or for [takeUpTime] from the first broken or refused one. */
     suspend fun receive() {
         val first = attempt(0).also { attempts += it }
         val start = TimeSource.Monotonic.markNow()
         var last = first
-        while (!last.isWhole && start.elapsedNow() < TAKE_UP_TIME) {
+        while (!last.isWhole && start.elapsedNow() < takeUpTime) {
             delay(PAUSE)
             last = attempt(attempts.size).also { attempts += it }
         }
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/VersionsSite.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/VersionsSite.kt
@@ -17,20 +17,24 @@
 import java.net.http.HttpClient
 import java.net.http.HttpRequest
 import java.net.http.HttpResponse
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.toJavaDuration
 
 /**
- * Three entries and a batch runner in processes of their own, and targets of several versions in this one.
+ * Entries and a batch runner in processes of their own, and targets of several versions in this one.
  *
  * @param versions versions of the targets
  * @param restartMilliseconds time for which a target that crashed is away, in milliseconds
+ * @param unregistered versions of which no target is registered at the start
  */
 internal class VersionsSite(
     private val vertx: Vertx,
     versions: List<String>,
     restartMilliseconds: Long,
+    private val entryCount: Int = 3,
+    unregistered: Set<String> = emptySet(),
 ) {
     private val client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build()
     private lateinit var storeServer: ObjectStoreServer
@@ -45,7 +49,7 @@
                 version = version,
             )
         }
-    val deployment = FakeDeployment(vertx, targets)
+    val deployment = FakeDeployment(vertx, targets.filter { it.version !in unregistered })
     lateinit var entries: List<EntryProcess>
         private set
     lateinit var runner: EntryProcess
@@ -57,7 +61,7 @@
         deployment.prepare()
         storeServer = ObjectStoreServer(deployment.store, vertx)
         val storePort = storeServer.start(0)
-        entries = List(3) { EntryProcess("entry-$it", "entry", storePort) }
+        entries = List(entryCount) { EntryProcess("entry-$it", "entry", storePort) }
         runner = EntryProcess("batch-1", "batch", storePort)
         (entries + runner).forEach { it.start() }
         (entries + runner).forEach { process ->
@@ -98,6 +102,13 @@
             callers
         }
 
+    /** Returns a caller that begins its stream at the first of [ports] and takes it up at the others in turn. */
+    fun caller(
+        name: String,
+        ports: List<Int>,
+        takeUpTime: Duration,
+    ): StreamCaller = StreamCaller(name, ports, repeatsEntry = false, client, takeUpTime)
+
     /** Returns whether half of [callers] are in the middle of their streams. */
     private fun areInTheMiddle(callers: List<StreamCaller>): Boolean =
         callers.count { it.events.size in MIDDLE } * 2 >= callers.size
