Count updates that lay in a socket during a pause as old

A process that stood still reads the updates in its sockets when it goes on. It counted each as confirmed at that moment, so its view of the targets seemed a few milliseconds old, and it vouched for one version by it; as a watcher it told all others so as well. Where the socket was full the newer updates were missing.

Each process now sends a probe to its own datagram socket every 50 ms. What is read there after a probe has arrived after the probe was sent; what is read from other sockets has arrived after the one before. If that is more than 150 ms ago, the age of an update grows by it. An answer of the object API is at most as old as its request.

FrozenEntryVersionsTest takes streams up for 1 s instead of 1.5 s, so that it keeps within 60 s.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/Fleet.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/Fleet.kt
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Vertx
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.slf4j.LoggerFactory
 import tanagerlane.limits.EntryFleet
@@ -14,15 +15,19 @@
 import tanagerlane.message.OriginQuery
 import tanagerlane.message.OriginReply
 import tanagerlane.message.OriginReport
+import tanagerlane.message.Ping
 import tanagerlane.message.PlaceReport
 import tanagerlane.message.ViewUpdate
 import tanagerlane.message.WireMessage
 import tanagerlane.model.HostName
+import tanagerlane.views.SocketDelay
 import tanagerlane.wire.MemberDirectory
 import tanagerlane.wire.PeerConnections
 import tanagerlane.wire.WireAddress
 import tanagerlane.wire.WireConnection
 import tanagerlane.wire.WireEndpoint
+import kotlin.random.Random
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
 
@@ -42,6 +47,7 @@
     private val onPeerLost: (HostName) -> Unit,
 ) {
     private val datagrams = DatagramTransport(vertx, ::onDatagram)
+    private val socketDelay = SocketDelay(now(), lastProbe = Random.nextLong(), DELAY_TOLERANCE)
     private val memberDirectory = MemberDirectory(hello.host)
     private val lastMessageAt = HashMap<HostName, Instant>()
     private val leaving = HashSet<HostName>()
@@ -51,7 +57,7 @@
             endpoint = endpoint,
             scope = scope,
             addressOf = memberDirectory::addressOf,
-            onMessage = { from, message -> scope.launch { onPeerMessage(from, message) } },
+            onMessage = { from, message -> scope.launch { onPeerMessage(from, message, connectionDelay) } },
             now = now,
         )
 
@@ -67,6 +73,9 @@
     /** Other processes from which a message was received within [SILENCE_TIMEOUT], checked every [CHECK_INTERVAL]. */
     val reachable: Set<HostName> get() = view().reachable
 
+    /** Time for which what is read now from connections may have lain there, as this process stood still. */
+    val connectionDelay: Duration get() = socketDelay.ofOthers(now())
+
     /** Number of entries, and of those that are reachable; this process counts as one. */
     val entries: EntryFleet get() = view().entries
 
@@ -85,7 +94,10 @@
         }
 
     /** Starts to receive datagrams at [address]. */
-    suspend fun listen(address: WireAddress): Unit = datagrams.listen(address)
+    suspend fun listen(address: WireAddress) {
+        datagrams.listen(address)
+        RestartingLoops(scope).launch("probes") { probe(address) }
+    }
 
     /** Serves a connection that another process has opened. */
     suspend fun serve(connection: WireConnection): Unit = peers.serve(connection)
@@ -145,10 +157,22 @@
         }
     }
 
+    /** Sends probes to the datagram socket of this process, at [own], until cancelled. */
+    private suspend fun probe(own: WireAddress) {
+        while (true) {
+            datagrams.send(Ping(socketDelay.send(now())), listOf(own))
+            delay(PROBE_INTERVAL)
+        }
+    }
+
     private fun onDatagram(
         address: WireAddress,
         message: WireMessage,
     ) {
+        if (message is Ping) {
+            socketDelay.read(message.nonce)
+            return
+        }
         if (message is ForwardedReport) {
             onMessage(message.report.host, message)
             return
@@ -168,20 +192,21 @@
             logger.warn("unexpected datagram type={}", message::class.simpleName)
         } else if (sender != ownHost) {
             memberDirectory.learn(sender, address)
-            onPeerMessage(sender, message)
+            onPeerMessage(sender, message, socketDelay.ofProbes(now()))
         }
     }
 
     private fun onPeerMessage(
         from: HostName,
         message: WireMessage,
+        delay: Duration,
     ) {
         if (lastMessageAt.put(from, now()) == null) {
             lastView = null
             logger.info("peer heard host={} reachable={}", from, lastMessageAt.size)
             onPeerHeard(from)
         }
-        onMessage(from, message)
+        onMessage(from, if (message is ViewUpdate) message.copy(age = message.age + delay) else message)
     }
 
     /** Returns what is known of the other processes; derived again only at intervals, because each report asks for it. */
@@ -210,6 +235,11 @@
         /** Time for which the set of reachable processes is kept. */
         private val CHECK_INTERVAL = 50.milliseconds
 
+        private val PROBE_INTERVAL = 50.milliseconds
+
+        /** Time in which a probe is read after the one before it, on a process that does not stand still. */
+        private val DELAY_TOLERANCE = PROBE_INTERVAL * 3
+
         /** Time without a message from a process after which it counts as lost. */
         val SILENCE_TIMEOUT = 700.milliseconds
         private val logger = LoggerFactory.getLogger(Fleet::class.java)
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ViewSynchronizer.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ViewSynchronizer.kt
@@ -86,6 +86,7 @@
 
     private suspend fun poll() {
         val before = view.at
+        val askedAt = now()
         val result = if (view.isComplete) watch(before) else list()
         val update =
             result.getOrElse { failure ->
@@ -93,7 +94,7 @@
                 return
             }
         onStoreAvailable()
-        publish(update)
+        publish(update, askedAt)
         delay(times.pause)
     }
 
@@ -151,17 +152,24 @@
     private fun isOverdue(): Boolean = age()?.let { it > times.updateTimeout } ?: true
 
     private suspend fun relist() {
+        val askedAt = now()
         val update =
             list().getOrElse {
                 delay(retryPause)
                 return
             }
-        publish(update)
+        publish(update, askedAt)
     }
 
-    private fun publish(update: ViewUpdate) {
-        view.updated(update)?.let { accept(it, update.age) }
-        fleet.broadcast(update)
+    /** Accepts and relays [update], which the object API has sent after [askedAt]. */
+    private fun publish(
+        update: ViewUpdate,
+        askedAt: Instant,
+    ) {
+        // The answer may have lain in the socket while this process stood still.
+        val aged = update.copy(age = minOf(now() - askedAt, fleet.connectionDelay))
+        view.updated(aged)?.let { accept(it, aged.age) }
+        fleet.broadcast(aged)
     }
 
     private fun onStoreAvailable() {
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FrozenEntryScene.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FrozenEntryScene.kt
@@ -138,6 +138,6 @@
         private const val REPORTS = 500
         private val TIME_TO_FULL_SOCKETS = 1.seconds
         private val STREAM_TIME = 500.milliseconds
-        private val TAKE_UP_TIME = 1500.milliseconds
+        private val TAKE_UP_TIME = 1.seconds
     }
 }
