--- a/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/SimulatedFleet.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/SimulatedFleet.kt
@@ -29,6 +29,8 @@
     private val byHost = HashMap<HostName, SimulatedProcess>()
     private var queries = 0L
     private var hosts = 0
+    private val history = ArrayList<StoredState>()
+    private var outOfStep: OutOfStep? = null
     val now: Instant get() = time.now
     val processes = ArrayList<SimulatedProcess>()
     val entries: List<SimulatedProcess> get() = processes.filter { it.role == HostRole.ENTRY && it.isRunning }
@@ -44,6 +46,7 @@
         repeat(troubles.entries) { processes += process(HostRole.ENTRY, it) }
         repeat(troubles.runners) { processes += process(HostRole.BATCH, it) }
         stored = StoredState(1, targets, processes.map { it.member() })
+        history += stored
         // Only the process that registers first finds no other one registered.
         if (isNew) {
             processes
@@ -53,13 +56,23 @@
         }
         processes.forEach { it.see(stored) }
         time.every(OBSERVE_PAUSE) {
-            processes.forEach {
+            processes.filter { !it.isFrozen }.forEach {
                 it.observe()
                 it.learnVersions()
             }
         }
     }
 
+    /** Returns the states that were stored after that of [number], up to the latest one. */
+    fun statesAfter(number: Int): List<StoredState> =
+        if (number <
+            0
+        ) {
+            emptyList()
+        } else {
+            history.subList(number, history.size)
+        }
+
     /** Stores a change, which each process sees with its own delay. */
     fun publish(
         targets: List<DirectTarget> = stored.targets,
@@ -67,6 +80,7 @@
     ) {
         val state = StoredState(stored.number + 1, targets, members)
         stored = state
+        history += state
         processes.forEach { after(MAXIMUM_VIEW_DELAY * random.nextDouble()) { it.see(state) } }
     }
 
@@ -95,18 +109,35 @@
             return
         }
         after(1.milliseconds + MAXIMUM_LATENCY * random.nextDouble()) {
-            byHost[to]?.takeIf { it.isRunning && !it.isCut }?.let(deliver)
+            byHost[to]?.takeIf { it.isRunning && !isSevered(from, it) }?.let { it.whenAwake { deliver(it) } }
         }
     }
 
+    /** Lets a group of processes get out of step as [trouble] tells for [length]. */
+    fun disturb(
+        trouble: GroupTrouble,
+        length: Duration,
+    ) {
+        val group = OutOfStep.draw(trouble, processes.filter { it.isRunning }, random)
+        outOfStep = group
+        group.members.forEach { if (group.areFrozen) it.freeze(length) else it.beStale(length, cut = false) }
+        after(length) { outOfStep = null }
+    }
+
+    private fun isSevered(
+        from: SimulatedProcess,
+        to: SimulatedProcess,
+    ): Boolean = to.isCut || outOfStep?.severs(from, to) ?: false
+
     /** Returns whether [observer] has lately heard [host]. */
     fun isReachable(
         host: HostName,
         observer: SimulatedProcess,
     ): Boolean {
         val process = byHost.getValue(host)
-        val isHeard = process.killedAt?.let { now - it < SILENCE_TIME } ?: !process.isCut
-        return isHeard && !observer.isCut && now - maxOf(observer.startedAt, process.startedAt) > CONTACT_TIME
+        val isHeard = process.killedAt?.let { now - it < SILENCE_TIME } ?: !isSevered(process, observer)
+        return isHeard && !observer.isCut && !process.isCut &&
+            now - maxOf(observer.startedAt, process.startedAt) > CONTACT_TIME
     }
 
     /** Returns up to [count] processes that [observer] has lately heard. */
