--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ViewSynchronizer.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/ViewSynchronizer.kt
@@ -111,10 +111,11 @@
             }
 
     private suspend fun read(): Boolean {
+        val askedAt = now()
         val result = if (view.isComplete) watch(view.at, Duration.ZERO) else list()
         return result.fold(
             success = { update ->
-                view.updated(update)?.let { accept(it, update.age) }
+                view.updated(update)?.let { accept(it, answerAge(askedAt)) }
                 true
             },
             failure = { failure ->
@@ -126,6 +127,7 @@
 
     private suspend fun poll() {
         val before = view.at
+        val askedAt = now()
         val result = if (view.isComplete) watch(before, times.watchTimeout) else list()
         val update =
             result.getOrElse { failure ->
@@ -133,7 +135,7 @@
                 return
             }
         onStoreAvailable()
-        publish(update)
+        publish(update, askedAt)
         delay(times.pause)
     }
 
@@ -196,19 +198,28 @@
     private fun isOverdue(): Boolean = age()?.let { it > times.updateTimeout } ?: true
 
     private suspend fun relist() {
+        val askedAt = now()
         val update =
             list().getOrElse {
                 delay(retryPause)
                 return
             }
-        publish(update)
+        publish(update, askedAt)
     }
 
-    private fun publish(update: ViewUpdate) {
-        view.updated(update)?.let { accept(it, update.age) }
-        fleet.broadcast(update)
+    /** Accepts and relays [update], which the object API has sent after [askedAt]. */
+    private fun publish(
+        update: ViewUpdate,
+        askedAt: Instant,
+    ) {
+        val aged = update.copy(age = answerAge(askedAt))
+        view.updated(aged)?.let { accept(it, aged.age) }
+        fleet.broadcast(aged)
     }
 
+    /** Time for which an answer to a call made at [askedAt] may have lain in the socket, as this process stood still. */
+    private fun answerAge(askedAt: Instant): Duration = minOf(now() - askedAt, fleet.connectionDelay)
+
     private fun onStoreAvailable() {
         retryPause = MINIMUM_RETRY_PAUSE
         if (isStoreUnavailable) {
