Count a silence once for all requests that stay at a target under the adaptive limit

What callers saw: with pacing, a target that was silent for several requests of an entry stayed held back for more than 5 s after that; requests went to the other targets or waited for a place. Cause: AdaptiveLimit left TargetPacing.stayedSilent at its default, which records a failure for each request. The third one without an answer in between makes TargetWindow probe the target, and a stream that goes on in its middle is no answer to a probe. Change: as FailureBackoff does, AdaptiveLimit ignores a silence that is found while the target is held back. Silences that are found again after each hold still lead to a probe.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/pace/AdaptiveLimit.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/pace/AdaptiveLimit.kt
@@ -103,6 +103,16 @@
         count(target) { it.copy(failed = it.failed + 1) }
     }
 
+    /** Requests that find a target silent while it is held back were sent before, so they count as one failure. */
+    override fun stayedSilent(
+        target: TargetName,
+        now: Instant,
+    ) {
+        if (windows[target]?.isHeld(now) != true) {
+            failed(target, now)
+        }
+    }
+
     override fun received(
         report: PlaceReport,
         now: Instant,
