Count a silence once for all requests that leave a target

What callers saw: requests that had left a silent target waited for seconds at the next one, which fell silent too, although the first one was ready for them again. Cause: each request that leaves a silent target is recorded as a failure of it. FailureBackoff doubles the backoff with each (four requests: 3.2 s), and with the adaptive limit the third one makes the target wait for a probe. Change: PlaceElsewhere records the silence also when a request leaves; failures during the hold that follows are taken for requests that leave it and count no more. TargetPacing.stayedSilent is now foundSilent. A target that crashes in that time is noticed by the first request after the hold.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/pace/AdaptiveLimit.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/pace/AdaptiveLimit.kt
@@ -99,18 +99,22 @@
         target: TargetName,
         now: Instant,
     ) {
-        windowFor(target, now)?.failed(own, isOwn = true, now) ?: return
-        count(target) { it.copy(failed = it.failed + 1) }
+        val window = windowFor(target, now) ?: return
+        if (!window.isHeldSilent(now)) {
+            window.failed(own, isOwn = true, now)
+            count(target) { it.copy(failed = it.failed + 1) }
+        }
     }
 
     /** Requests that find a target silent while it is held back were sent before, so they count as one failure. */
-    override fun stayedSilent(
+    override fun foundSilent(
         target: TargetName,
         now: Instant,
     ) {
         if (windows[target]?.isHeld(now) != true) {
             failed(target, now)
         }
+        windows[target]?.foundSilent()
     }
 
     override fun received(
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/pace/TargetPace.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/pace/TargetPace.kt
@@ -103,10 +103,10 @@
         now: Instant,
     ): Unit = inner.failed(target, now)
 
-    override fun stayedSilent(
+    override fun foundSilent(
         target: TargetName,
         now: Instant,
-    ): Unit = inner.stayedSilent(target, now)
+    ): Unit = inner.foundSilent(target, now)
 
     override fun received(
         report: PlaceReport,
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/pace/TargetWindow.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/pace/TargetWindow.kt
@@ -25,6 +25,7 @@
     private var ownFailures = 0
     private var consecutiveHolds = 0
     private var heldUntil = Instant.DISTANT_PAST
+    private var wasFoundSilent = false
     private var lastFailureAt = now
     private var shrunkAt = Instant.DISTANT_PAST
     private var fullSince: Instant? = null
@@ -106,6 +107,11 @@
         }
     }
 
+    /** Records that a request of this process has found the target silent, after the failure that this counts as. */
+    fun foundSilent() {
+        wasFoundSilent = true
+    }
+
     /** Records that the target has refused a request of this process, which waits before it sends the next one. */
     fun rejected(now: Instant) {
         if (isWide) {
@@ -133,6 +139,9 @@
     /** Whether the target is held back after a failure. */
     fun isHeld(now: Instant): Boolean = now < heldUntil
 
+    /** Whether the target is held back and was found silent, so that requests which fail now have left that silence. */
+    fun isHeldSilent(now: Instant): Boolean = wasFoundSilent && isHeld(now)
+
     /** Returns the time since the hold after the last failure has ended; negative before its end. */
     fun timeSinceHold(now: Instant): Duration = now - heldUntil
 
@@ -144,6 +153,7 @@
         if (now >= heldUntil) {
             val hold = settings.initialHold * (1 shl consecutiveHolds.coerceAtMost(MAXIMUM_DOUBLINGS))
             heldUntil = now + minOf(hold, settings.maximumHold)
+            wasFoundSilent = false
             consecutiveHolds++
         }
     }
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/places/FailureBackoff.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/places/FailureBackoff.kt
@@ -39,19 +39,28 @@
         target: TargetName,
         now: Instant,
     ) {
-        val length = (failures[target]?.length ?: 0) + 1
+        val streak = failures[target]
+        if (streak?.isSilent == true && streak.backoffUntil > now) {
+            return
+        }
+        val length = (streak?.length ?: 0) + 1
         val backoff = initial * (1 shl (length - 1).coerceAtMost(MAXIMUM_DOUBLINGS))
         failures[target] = FailureStreak(length, backoffUntil = now + minOf(backoff, maximum))
     }
 
-    /** Most requests that find a target silent during its backoff were sent before it, so they do not lengthen it. */
-    override fun stayedSilent(
+    /**
+     * Most requests that find a target silent during its backoff were sent before it, so they do not lengthen it.
+     *
+     * Neither do those that leave it then.
+     */
+    override fun foundSilent(
         target: TargetName,
         now: Instant,
     ) {
         if (!isInBackoff(target, now)) {
             failed(target, now)
         }
+        failures.computeIfPresent(target) { _, streak -> streak.copy(isSilent = true) }
     }
 
     private fun isInBackoff(
@@ -59,9 +68,11 @@
         now: Instant,
     ): Boolean = failures[target]?.let { it.backoffUntil > now } ?: false
 
+    /** [isSilent] tells whether the target was found silent since the last failure that counted. */
     private data class FailureStreak(
         val length: Int,
         val backoffUntil: Instant,
+        val isSilent: Boolean = false,
     )
 
     private companion object {
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/places/TargetPacing.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/places/TargetPacing.kt
@@ -50,8 +50,12 @@
         now: Instant,
     )
 
-    /** Records that a request of this process stays at [target], which is silent; others may find the same silence. */
-    public fun stayedSilent(
+    /**
+     * Records that a request of this process has found [target] silent, whether it stays there or leaves.
+     *
+     * Other requests may find the same silence. Those that leave are recorded as failed afterwards.
+     */
+    public fun foundSilent(
         target: TargetName,
         now: Instant,
     ): Unit = failed(target, now)
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/places/RepeatedSilenceTest.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/places/RepeatedSilenceTest.kt
@@ -33,7 +33,7 @@
             test("a target that ${case.name} found silent is held back once for each backoff") {
                 val backoff = FailureBackoff(initial = 200.milliseconds, maximum = 4.seconds)
                 val silent = target("x")
-                case.foundAt.forEach { backoff.stayedSilent(silent.name, start + it) }
+                case.foundAt.forEach { backoff.foundSilent(silent.name, start + it) }
 
                 fun decisionAfter(time: Duration) = backoff.admission(silent, NO_LOADS, start + time)
                 decisionAfter(case.heldUntil - 1.milliseconds) shouldBe PaceDecision.HELD
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/PlaceElsewhere.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/PlaceElsewhere.kt
@@ -32,11 +32,12 @@
     ): Boolean {
         val held = if (mayContinueElsewhere(request, now)) places.hold(request, target) else null
         if (held != null) {
+            loadBalancer.pace { foundSilent(target.name, now) }
             metrics.silentTargetsLeft.increment()
             record("left", request, target, held, now)
         } else if (request.silentTarget != target.name) {
             request.silentTarget = target.name
-            loadBalancer.pace { stayedSilent(target.name, now) }
+            loadBalancer.pace { foundSilent(target.name, now) }
             metrics.silentTargetsKept.increment()
             record("kept", request, target, held = null, now)
         }
