Let an entry that starts during an outage learn of the other processes from its peers

What callers saw: an entry that was started again while the object API was away did not serve until the API came back (not ready for 60 s). Cause: an entry reads the registered processes and the holders of slots only from the object API. A peer that connects to it relays the configuration, but the entry knows no sidecar to call and no slot from which to borrow. Change: until it has read the registrations once, an entry asks the connected processes every second (MembersQuery); entries that have read them answer with them and with the holders of slots (KnownMembers). What was learned decides only where to connect and from whom to borrow; slots are claimed by what the API shows.

--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/EntryDaemon.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/EntryDaemon.kt
@@ -24,7 +24,6 @@
 import tanagerlane.limits.SlotLeases
 import tanagerlane.limits.SlotSettings
 import tanagerlane.membership.Member
-import tanagerlane.message.Hello
 import tanagerlane.message.HostRole
 import tanagerlane.message.WireMessage
 import tanagerlane.model.HostName
@@ -35,12 +34,10 @@
 import tanagerlane.runtime.MemberRegistration
 import tanagerlane.runtime.MonotonicClock
 import tanagerlane.runtime.OperatorServer
-import tanagerlane.runtime.PrefixWatcher
 import tanagerlane.runtime.configuration.ConfigurationFollower
 import tanagerlane.runtime.openTelemetryOf
 import tanagerlane.settings.EntrySettings
 import tanagerlane.store.ObjectStore
-import tanagerlane.store.StoredObject
 import tanagerlane.wire.MemberDirectory
 import tanagerlane.wire.PeerConnections
 import tanagerlane.wire.WireAddress
@@ -66,7 +63,7 @@
     private val registration = MemberRegistration(store)
     private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     private val tracer = HopTracer(openTelemetryOf(settings.host, "tanagerlane-entry"))
-    private val endpoint = WireEndpoint(hello(), scope, now = clock::now)
+    private val endpoint = WireEndpoint(helloOf(settings.host, HostRole.ENTRY, incarnation), scope, now = clock::now)
     private val activeRequests = ActiveRequests()
     private val directory = MemberDirectory(settings.host.name)
     private val peers = PeerConnections(endpoint, scope, directory::addressOf, ::receive, clock::now)
@@ -79,6 +76,15 @@
             now = clock::now,
             onAccepted = ::applyConfiguration,
         )
+    private val memberFollower =
+        MemberFollower(
+            store = store,
+            connected = { peers.connected },
+            slotHolders = { slots?.holders.orEmpty() },
+            send = peers::send,
+            onMembers = ::applyMembers,
+            onSlotHolders = { slots?.learnHolders(it) },
+        )
     private val picker = TargetPicker(settings.host.failureDomain, clock::now)
     private val links = SidecarLinks(endpoint, scope, activeRequests, picker, clock::now)
     private val limiter = FleetLimiter(LimiterSettings(settings.host.name, incarnation, settings.slots))
@@ -139,7 +145,7 @@
             scope.launch { configurationFollower.run() }
             scope.launch { refusals.storeLoop() }
             scope.launch { probeLoop() }
-            scope.launch { PrefixWatcher(store, MemberRegistration.PREFIX).follow { applyMembers(it.values) } }
+            scope.launch { memberFollower.run() }
             operatorServer.start(settings.host.address, settings.host.operatorPort)
             callerPort = callerServer.start(settings.host.address, settings.callerPort)
             logger.info("listening for callers port={}", callerPort)
@@ -225,6 +231,7 @@
         rateControl.receive(from, message)
         refusals.receive(from, message)
         configurationFollower.receive(from, message)
+        memberFollower.receive(from, message)
         slots?.receive(from, message)
     }
 
@@ -235,8 +242,7 @@
         updateLinks()
     }
 
-    private fun applyMembers(objects: Collection<StoredObject>) {
-        val members = MemberRegistration.membersIn(objects)
+    private fun applyMembers(members: Collection<Member>) {
         directory.update(members)
         refusals.entriesChanged(liveIncarnations())
         configurationFollower.replaceMembers(members.mapTo(HashSet()) { RelayMember(it.host, it.failureDomain) })
@@ -247,6 +253,7 @@
     private suspend fun probeLoop() {
         while (true) {
             directory.otherEntries.take(MAXIMUM_PROBED_ENTRIES).forEach { peers.probe(it.host) }
+            memberFollower.askOthers()
             refusals.entriesChanged(liveIncarnations())
             delay(PROBE_INTERVAL)
         }
@@ -271,8 +278,6 @@
         links.update(directory.members.filter { it.target in used })
     }
 
-    private fun hello(): Hello = helloOf(settings.host, HostRole.ENTRY, incarnation)
-
     private fun status(): String =
         """{"role":"entry","host":"${settings.host.name}","revision":${state?.configuration?.revision ?: 0},""" +
             """"ready":${acceptsCallers()},"usableTargets":${links.usable().size}}"""
--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/SlotLeaseManager.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/SlotLeaseManager.kt
@@ -41,10 +41,25 @@
     @Volatile
     private var stopping = false
 
-    /** Whether this entry may spend a slot, or is [connected] to every holder of a slot. */
+    @Volatile
+    private var learnedHolders = emptySet<HostName>()
+
+    /** Entries that hold slots: as last observed or, while no slot could be read, as named by another entry. */
+    val holders: Set<HostName> get() = leases.holders().ifEmpty { learnedHolders }
+
+    /**
+     * Whether this entry may spend a slot, or is [connected] to every other holder of a slot.
+     *
+     * Slots of its own earlier incarnation cannot be claimed during an outage, so they are not waited for.
+     */
     fun isUsable(connected: Set<HostName>): Boolean {
-        val holders = leases.holders()
-        return holdsSlot || (holders.isNotEmpty() && holders.all { it in connected })
+        val others = holders - host
+        return holdsSlot || (others.isNotEmpty() && others.all { it in connected })
+    }
+
+    /** Uses [named] as the holders of slots until slots are read from the object API. */
+    fun learnHolders(named: Set<HostName>) {
+        learnedHolders = named
     }
 
     /** Whether this entry may spend the share of a slot. */
@@ -84,6 +99,7 @@
                 SlotRecord(slot, value, stored?.version)
             }
         leases.observe(records, now())
+        learnedHolders = emptySet()
     }
 
     private suspend fun leaseLoop(scope: CoroutineScope) {
@@ -107,7 +123,7 @@
     ) {
         limiter.changeSlots(slots, now())
         val own = if (stopping) emptySet() else setOf(host)
-        limiter.changePeers(own + currentPeers.map { it.host }, leases.holders() - host)
+        limiter.changePeers(own + currentPeers.map { it.host }, holders - host)
         val numbers = slots.map { it.number }
         if (numbers != held) {
             logger.info("slots held slots={}", numbers)
