Confirm the targets before a stream of known origin goes on

Streams of callers held events from two versions though it was known which version had begun them: an entry that was out of step, or had just been frozen, sent them on to a target that had started again under its name and address with another version. Answers do not tell the version, so by an old view the entry takes it for the earlier incarnation.

The targets are now confirmed, by a read that all share, before a stream goes on of which the caller has a part, after a take-up and within one answer. Without a confirmation it does not go on at this entry: 503 as "store unavailable" with a short Retry-After, as another entry may go on with it, or the end of the connection once events were sent. While the object API is down no such stream goes on. Platforms that do not tell versions are served as before.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/resumption/OriginDirectory.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/resumption/OriginDirectory.kt
@@ -154,7 +154,7 @@
      * @param service service at which it would go on
      * @param replies what other processes know
      * @param isConfirmed whether the targets were confirmed later than the caller has asked, so that all versions are
-     * known that may have begun the stream
+     * known that may have begun the stream, and that of each target
      * @param isIsolated whether other processes were asked and none has replied
      * @param askedAt time of the query to which the replies came
      */
@@ -167,10 +167,10 @@
         isIsolated: Boolean = false,
         askedAt: Instant = now,
     ): Resumption {
-        attempt?.let { find(it, now) }?.let { return Resumption.At(it, OriginSource.OWN) }
+        attempt?.let { find(it, now) }?.let { return confirmed(isConfirmed, it, OriginSource.OWN) }
         told(replies).firstOrNull { !isDoubtful(it) }?.let { origin ->
             origins.record(origin, now, isOwn = false)
-            return Resumption.At(origin, OriginSource.PEER)
+            return confirmed(isConfirmed, origin, OriginSource.PEER)
         }
         if (told(replies).isNotEmpty() || !isConfirmed || isIsolated) {
             return Resumption.Unknown
@@ -192,8 +192,8 @@
         replies: Collection<OriginReply>,
         now: Instant,
     ): Boolean =
-        attempt?.let { find(it, now) } == null &&
-            told(replies).isEmpty() &&
+        attempt?.let { find(it, now) } != null ||
+            told(replies).isNotEmpty() ||
             versions.versions(service, lifetime, now).size <= 1
 
     /**
@@ -212,6 +212,14 @@
             ?.let(::ObjectVersion)
             ?.takeUnless { versions.isKnownSince(it) || versions.soleVersion(service, lifetime, now) != null }
 
+    /** Targets of [origin] can be told from their next incarnations only once their list is confirmed. */
+    private fun confirmed(
+        isConfirmed: Boolean,
+        origin: StreamOrigin,
+        source: OriginSource,
+    ): Resumption =
+        if (isConfirmed || !isBoundToVersion(origin)) Resumption.At(origin, source) else Resumption.Unconfirmed
+
     /** Returns the origins that [replies] tell, without those that their sender has inferred. */
     private fun told(replies: Collection<OriginReply>): List<StreamOrigin> =
         replies.mapNotNull { it.origin }.filter(::isSeen)
@@ -219,6 +227,9 @@
     /** Whether [origin] was seen at a target; otherwise it was inferred from the versions in service. */
     private fun isSeen(origin: StreamOrigin): Boolean = origin.target != null
 
+    /** Whether the platform tells versions apart, so that a stream of [origin] may go on at one of them only. */
+    public fun isBoundToVersion(origin: StreamOrigin): Boolean = origin.version.text.isNotEmpty()
+
     /** Whether the target of [origin] has started again with another version, so that either may have begun the stream. */
     public fun isDoubtful(origin: StreamOrigin): Boolean =
         origin.target?.let(versions::versionOf)?.let { it != origin.version } ?: false
--- a/tanagerlane-core/src/main/kotlin/tanagerlane/resumption/Resumption.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/resumption/Resumption.kt
@@ -10,6 +10,9 @@
         val source: OriginSource,
     ) : Resumption
 
+    /** It must not go on here: its target may have started again with another version, unnoticed by this process. */
+    public data object Unconfirmed : Resumption
+
     /** It must not go on: it is unknown which version began it. */
     public data object Unknown : Resumption
 }
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/MissingChangesTest.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/MissingChangesTest.kt
@@ -67,12 +67,12 @@
         listOf(
             ConfirmationCase("one version", listOf("v1"), expected = true),
             ConfirmationCase("two versions", listOf("v1", "v2"), expected = false),
-            ConfirmationCase("the origin is known", listOf("v1"), isKnown = true, expected = false),
+            ConfirmationCase("two versions, the origin is known", listOf("v1", "v2"), isKnown = true, expected = true),
             ConfirmationCase(
-                "the origin is told",
-                listOf("v1"),
+                "two versions, the origin is told",
+                listOf("v1", "v2"),
                 listOf(reply(100).copy(origin = seen)),
-                expected = false,
+                expected = true,
             ),
         ).forEach { case ->
             test("targets are confirmed only where that may help: ${case.name}") {
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/OriginDirectoryTest.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/OriginDirectoryTest.kt
@@ -55,10 +55,11 @@
                 listOf(reply(sole = "v1"), reply(sole = "v1")),
                 isConfirmed = false,
             ),
+            ResolveCase("began here, targets not confirmed", began("v1", "v2"), UNCONFIRMED, isConfirmed = false),
             ResolveCase(
                 "began elsewhere, targets not confirmed",
                 seen("v1"),
-                At(ORIGIN, OriginSource.PEER),
+                UNCONFIRMED,
                 listOf(FROM_PEER),
                 isConfirmed = false,
             ),
@@ -189,6 +190,7 @@
         val LISTED_AT = ObjectVersion(100)
         val OWN = HostName("entry-1")
         val UNKNOWN = Resumption.Unknown
+        val UNCONFIRMED = Resumption.Unconfirmed
         val SOLE = StreamOrigin(ATTEMPT, MODELS, version("v1"))
         val ORIGIN = SOLE.copy(target = target("t-v1").name)
         val SOLE_HERE = At(SOLE, OriginSource.SOLE_VERSION)
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/OutOfStepEntriesTest.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/OutOfStepEntriesTest.kt
@@ -23,7 +23,7 @@
                     length = LENGTH,
                 ),
             )
-        for (size in sizes) {
+        for (size in sizes + sizes.map { it.copy("${it.name}, addresses kept", areAddressesKept = true) }) {
             for (group in GroupTrouble.entries) {
                 val troubles = size.copy("${size.name}, ${group.name.lowercase().replace('_', ' ')}", group = group)
                 test("streams go on only at the version that began them: ${troubles.name}") {
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/ResumptionSimulation.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/ResumptionSimulation.kt
@@ -132,7 +132,11 @@
             end(run)
             time.after(LOSS_NOTICED_TIME) {
                 run.entry.whenAwake {
-                    if (!run.entry.isRunning || !serve(run.stream, run.entry, run.origin)) takeUp(run.stream)
+                    val goOn = { isConfirmed: Boolean ->
+                        val mayServe = run.entry.isRunning && isConfirmed
+                        if (!mayServe || !serve(run.stream, run.entry, run.origin)) takeUp(run.stream)
+                    }
+                    if (run.origin == null) goOn(true) else run.entry.confirm(goOn)
                 }
             }
         }
@@ -181,7 +185,7 @@
         val attempt = stream.attempt?.takeIf { stream.isNamed }
         val service = SimulatedTargets.SERVICE
         if (attempt != null && entry.directory.find(attempt, now) != null) {
-            decide(stream, entry, null)
+            confirm(stream, entry, Replies(null, now))
         } else {
             val askedAt = now
             entry.ask(attempt, service) { replies -> confirm(stream, entry, Replies(replies, askedAt)) }
@@ -223,7 +227,7 @@
         val isPossible = targets.running(stream.versions.first()) > 1 && now - entry.startedAt >= SETTLED_TIME
         val isContinued = resumption is Resumption.At && serve(stream, entry, resumption.origin)
         outcome.takeUps++
-        if (resumption == Resumption.Unknown) outcome.unknown++
+        if (resumption !is Resumption.At) outcome.unknown++
         if (isPossible) outcome.possible++
         if (isPossible && isContinued) outcome.continued++
         if (isPossible && entry.isOutOfStep) outcome.possibleOutOfStep++
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/ResumptionTroubles.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/resumption/ResumptionTroubles.kt
@@ -48,7 +48,7 @@
     /** Take-ups that an entry has decided. */
     var takeUps = 0
 
-    /** Take-ups that were refused because it was unknown which version began the stream. */
+    /** Take-ups that were refused as it was unknown which version began the stream, or which targets are in service. */
     var unknown = 0
 
     /** Take-ups at entries that have run for long enough, of streams whose version has several targets. */
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineHandler.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineHandler.kt
@@ -39,18 +39,23 @@
     }
 
     private suspend fun serveInTurn(request: OnlineRequest) {
-        if (request.lastEvent != null && request.route.kind == RouteKind.STREAM && !resumption.resume(request)) {
-            return refuseOrAbort(request, CallerRefusal(RefusalReason.NOT_RESUMABLE, RunState.NOT_RUN))
+        if (request.lastEvent != null && request.route.kind == RouteKind.STREAM) {
+            resumption.resume(request)?.let { return refuseOrAbort(request, CallerRefusal(it, RunState.NOT_RUN)) }
         }
         while (true) {
             when (val step = attempt(request) ?: return) {
-                NextStep.TryElsewhere -> continue
+                NextStep.TryElsewhere -> if (!resumption.mayGoElsewhere(request)) return refuseUnconfirmed(request)
                 NextStep.ForwardError -> return forwardError(request)
                 is NextStep.GiveUp -> return refuseOrAbort(request, CallerRefusal(step.reason, step.runState))
             }
         }
     }
 
+    private fun refuseUnconfirmed(request: OnlineRequest) {
+        val runState = if (request.possibleRuns == 0) RunState.NOT_RUN else RunState.UNKNOWN
+        refuseOrAbort(request, CallerRefusal(RefusalReason.STORE_UNAVAILABLE, runState))
+    }
+
     private fun forwardError(request: OnlineRequest) {
         val error = request.error
         if (error == null || request.isAnswerStarted) {
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/StreamResumption.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/StreamResumption.kt
@@ -9,6 +9,7 @@
 import tanagerlane.message.OriginReport
 import tanagerlane.message.StreamOrigin
 import tanagerlane.model.HostName
+import tanagerlane.model.RefusalReason
 import tanagerlane.model.RequestId
 import tanagerlane.model.ServiceName
 import tanagerlane.places.DirectTarget
@@ -93,8 +94,8 @@
     fun isBound(request: OnlineRequest): Boolean =
         request.origin != null && directory.versions.hasSeveral(request.service)
 
-    /** Finds out at which service and version [request] goes on; returns false if it must not. */
-    suspend fun resume(request: OnlineRequest): Boolean {
+    /** Finds out at which service and version [request] goes on; returns why it must not, or null if it may. */
+    suspend fun resume(request: OnlineRequest): RefusalReason? {
         val attempt = request.exchange.resumedAttempt?.let(::RequestId)
         val service = request.route.serviceFor(attempt ?: RequestId(request.id)) ?: request.service
         val known = attempt?.let { directory.find(it, now()) }
@@ -104,11 +105,12 @@
         val isConfirmed =
             !isIsolated &&
                 directory.needsConfirmation(attempt, service, replies.orEmpty(), now()) &&
-                confirmTargets(service, replies.orEmpty())
+                confirmTargets { directory.missingSince(service, replies.orEmpty(), now()) }
         val resumption =
             directory.resolve(attempt, service, replies.orEmpty(), isConfirmed, now(), isIsolated, askedAt)
         val resumed = resumption as? Resumption.At
-        val outcome = resumed?.source?.name?.lowercase() ?: "unknown"
+        val isRefusedHere = resumption == Resumption.Unconfirmed
+        val outcome = resumed?.source?.name?.lowercase() ?: if (isRefusedHere) "unconfirmed" else "unknown"
         metrics.resumed(outcome).increment()
         logger.info(
             "stream resumed by caller request={} resumes={} last_event={} outcome={} version={} begun={} age={} replies={} confirmed={}",
@@ -122,15 +124,22 @@
             replies?.size,
             isConfirmed,
         )
-        val origin = resumed?.origin ?: return false
-        if (request.route.services.none { it.service == origin.service }) {
-            return false
+        val origin = resumed?.origin?.takeIf { known -> request.route.services.any { it.service == known.service } }
+        if (origin == null) {
+            return if (isRefusedHere) RefusalReason.STORE_UNAVAILABLE else RefusalReason.NOT_RESUMABLE
         }
         request.service = origin.service
         request.origin = origin
-        return true
+        return null
     }
 
+    /**
+     * Returns whether [request] may be sent to another target: whether none of its events were forwarded, or the targets
+     * are confirmed now, so that none has started again with another version unnoticed.
+     */
+    suspend fun mayGoElsewhere(request: OnlineRequest): Boolean =
+        request.origin?.let(directory::isBoundToVersion) != true || confirmTargets()
+
     /** Remembers streams that another process has forwarded. */
     fun received(report: OriginReport): Unit = directory.received(report.origins, now())
 
@@ -177,16 +186,13 @@
     /**
      * Returns whether the object API confirms the targets within [CONFIRMATION_TIMEOUT].
      *
-     * Reads what has changed since the time of which [replies] tell, too, if this process has not listed the targets then.
+     * Reads the changes from the version that [missingSince] returns on, too, if that is not null.
      */
-    private suspend fun confirmTargets(
-        service: ServiceName,
-        replies: Collection<OriginReply>,
-    ): Boolean =
+    private suspend fun confirmTargets(missingSince: () -> ObjectVersion? = { null }): Boolean =
         withTimeoutOrNull(CONFIRMATION_TIMEOUT) {
             metrics.targetConfirmations.increment()
             val isConfirmed = targets().confirm()
-            if (isConfirmed) directory.missingSince(service, replies, now())?.let { readSince(it) }
+            if (isConfirmed) missingSince()?.let { readSince(it) }
             isConfirmed
         } ?: false
 
