Let ended attempts give way to new ones at a sidecar that has run many

What callers saw: 503 overloaded (not run) for seconds while one of two sidecars was away, although the other one was idle. Cause: a sidecar keeps each ended attempt with its answer until 10 s after its deadline, 40 s here, and at most 16,384 of them, so it takes about 410 requests a second for long; beyond that it refuses, and the retries of the entry go to the same sidecar until the budget for them is used up. Change: at the limit, the oldest ended attempt gives way. It stays known by its identity until the same time, so it never runs twice, and a sender that asks for it is told that its outcome is unknown, as with answers over the limit of bytes.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/attempts/AttemptShard.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/attempts/AttemptShard.kt
@@ -24,6 +24,7 @@
 ) {
     private val records = LinkedHashMap<AttemptId, AttemptRecord>()
     private val notRun = NotRunAttempts(limits)
+    private val ended = EndedAttempts(limits)
     private val maximumRecords = limits.maximumAttempts / limits.shards
     private val maximumBytes = limits.maximumBytes / limits.shards
     private var nextExpiryAt = Instant.DISTANT_PAST
@@ -42,6 +43,7 @@
         now: Instant,
     ): OfferDecision {
         expireLocked(now)
+        ended.failureOf(offer.attempt)?.let { return OfferDecision.Joined(listOf(it)) }
         val record = records[offer.attempt] ?: return decideNew(offer, source, now)
         if (record.digest != OfferDigest.of(offer)) {
             return OfferDecision.Conflict
@@ -126,7 +128,8 @@
         expireLocked(now)
         val record = records[resolve.attempt]
         if (record == null) {
-            return listOf(notRun.failureOf(resolve.attempt) ?: neverSeen(resolve.attempt, now))
+            val failure = ended.failureOf(resolve.attempt) ?: notRun.failureOf(resolve.attempt)
+            return listOf(failure ?: neverSeen(resolve.attempt, now))
         }
         record.attach(source)
         return record.messagesFrom(resolve.received)
@@ -183,7 +186,7 @@
             notRun.contains(offer.attempt, now) -> RefusalReason.OVERLOADED
             offer.remaining <= Duration.ZERO -> RefusalReason.DEADLINE_EXCEEDED
             now - source.answeredProbeSentAt > limits.maximumOfferAge -> RefusalReason.NO_TARGET
-            records.size >= maximumRecords -> RefusalReason.OVERLOADED
+            records.size >= maximumRecords && !forgetOldestAnswer() -> RefusalReason.OVERLOADED
             else -> null
         }
 
@@ -203,6 +206,17 @@
         return OfferDecision.Run(listOf(Accepted(offer.attempt, incarnation)))
     }
 
+    /** Discards the answer of the attempt that began first among those that have ended; returns false if none can be. */
+    private fun forgetOldestAnswer(): Boolean {
+        val oldest = records.values.firstOrNull { it.outcome != null } ?: return false
+        val isForgotten = ended.add(oldest.attempt, until = oldest.deadline + limits.deadlineMargin)
+        if (isForgotten) {
+            bufferedBytes -= oldest.dropBytes()
+            records.remove(oldest.attempt)
+        }
+        return isForgotten
+    }
+
     private fun neverSeen(
         attempt: AttemptId,
         now: Instant,
@@ -253,6 +267,7 @@
             return
         }
         nextExpiryAt = now + EXPIRY_INTERVAL
+        ended.expire(now)
         val expired = records.values.filter { it.isExpired(now) }
         expired.forEach {
             bufferedBytes -= it.dropBytes()
--- a/tanagerlane-core/src/test/kotlin/tanagerlane/attempts/AttemptTableTest.kt
+++ b/tanagerlane-core/src/test/kotlin/tanagerlane/attempts/AttemptTableTest.kt
@@ -92,6 +92,29 @@
                 OfferDecision.Run(listOf(Accepted(other, INCARNATION)))
         }
 
+        test("an attempt is not refused because of others that have ended, which stay known until their deadlines") {
+            val limits = AttemptLimits(shards = 1, maximumAttempts = 1, maximumEndedAttempts = 1)
+            val table = AttemptTable(INCARNATION, limits)
+
+            fun offer(number: Int) = table.offer(OFFER.copy(attempt = ATTEMPT.copy(number = number)), SOURCE, NOW)
+
+            fun run(number: Int) = OfferDecision.Run(listOf(Accepted(ATTEMPT.copy(number = number), INCARNATION)))
+            table.offer(OFFER, SOURCE, NOW)
+            table.start(ATTEMPT, NOW)
+            table.append(ATTEMPT, Payload.of("abc"), NOW)
+            table.end(ATTEMPT, NOW)
+            offer(2) shouldBe run(2)
+            table.bufferedBytes shouldBe 0
+            val unknown = AttemptFailed(ATTEMPT, RunState.UNKNOWN, RefusalReason.OUTCOME_UNKNOWN)
+            table.resolve(Resolve(ATTEMPT, received = 0), NEWER, NOW) shouldBe listOf(unknown)
+            table.offer(OFFER, SOURCE, NOW) shouldBe OfferDecision.Joined(listOf(unknown))
+            table.start(ATTEMPT, NOW) shouldBe StartDecision.Skip(null)
+            table.end(ATTEMPT.copy(number = 2), NOW)
+            offer(3) shouldBe OfferDecision.Refused(NotRun(ATTEMPT.copy(number = 3), RefusalReason.OVERLOADED))
+            table.expire(NOW + 60.seconds)
+            offer(4) shouldBe run(4)
+        }
+
         test("an attempt cancelled while it runs ends with an unknown outcome") {
             val table = AttemptTable(INCARNATION)
             table.offer(OFFER, SOURCE, NOW)
