Break off answers without a length that end before their request was written

Callers got a part of an answer as the whole one: a target that answered a long request at once, without a length, and reset or closed the connection while the request was still being written. Calls were answered 200 with the part, streams ended as complete, and items of jobs were completed with a cut text; the client of sidecars did the same.

A write that fails closes the channel without the exception handler of the connection, and the codec then ends a body without a length in the ordinary way. The end of the connection was taken for the end of the answer.

AnswerFraming, used by both clients of targets and the client of engines, lets such an end count only if the request was written. Where the end is reported before the outcome of the write, it waits for this outcome, which the end of the connection decides at the latest. Answers with a length, in chunks or without a body by status or method are whole before their request is written, as before. Only "chunked" counts as chunks; other transfer encodings end with the connection.

A shorter body that a target closes on without a reset remains indistinguishable from one that was read.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetClient.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetClient.kt
@@ -4,6 +4,7 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.getOrElse
+import io.vertx.core.Promise
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpClientOptions
@@ -18,6 +19,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
 import tanagerlane.places.DirectTarget
+import tanagerlane.runtime.AnswerFraming
 import tanagerlane.runtime.AnswerPieces
 import tanagerlane.runtime.InterimAnswers
 import tanagerlane.streams.AnswerBudget
@@ -49,6 +51,7 @@
                 .setKeepAlive(true)
                 .setPipelining(false)
                 .setTcpNoDelay(true)
+                .setSendBufferSize(AnswerFraming.SEND_BUFFER_BYTES)
                 .setReceiveBufferSize(READ_BYTES),
             PoolOptions().setHttp1MaxSize(1),
         )
@@ -178,7 +181,7 @@
 ) {
     private val share = budget.open(::endOverBudget)
     private val body = AnswerPieces { share.add(it.toLong()) }
-    private var isWritten = false
+    private val written = Promise.promise<Void>()
     private var isComplete = false
     private var hasTooManyInterimAnswers = false
 
@@ -226,11 +229,11 @@
     ) = outgoing
         .response()
         .map(::listen)
-        .also { outgoing.end(body).onComplete { isWritten = it.succeeded() } }
+        .also { outgoing.end(body).onComplete(written) }
 
     /** Sets the handlers before the first byte of the body can arrive. */
     private fun listen(response: HttpClientResponse): HttpClientResponse {
-        body.listen(response) { onBodyEnd(response) }
+        body.listen(response, written.future()) { onBodyEnd(response) }
         return response
     }
 
@@ -245,7 +248,7 @@
             return IOException("connection failed: $connectionFault")
         }
         isComplete = true
-        if (isWritten && isReusable(response)) idle.put(connection, keepAliveTimeout(response)) else connection.close()
+        if (isReusable(response)) idle.put(connection, keepAliveTimeout(response)) else connection.close()
         return null
     }
 
@@ -268,15 +271,13 @@
     }
 
     private fun isReusable(response: HttpClientResponse): Boolean =
-        hasLength(response) &&
+        written.future().succeeded() &&
+            AnswerFraming.hasLength(response) &&
             !connection.isUsedUp &&
             response.getHeader(requestIdHeader) == id &&
             JoinedHeads.secondStatusLine(response) == null &&
             response.getHeader("connection")?.lowercase() != "close"
 
-    private fun hasLength(response: HttpClientResponse): Boolean =
-        response.getHeader("content-length") != null || response.getHeader("transfer-encoding") != null
-
     private fun keepAliveTimeout(response: HttpClientResponse): Duration? =
         response
             .getHeader("keep-alive")
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeDeployment.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/FakeDeployment.kt
@@ -6,8 +6,6 @@
 import io.vertx.core.Vertx
 import kotlinx.serialization.json.Json
 import tanagerlane.configuration.SettingsReader
-import tanagerlane.joblog.ListedResult
-import tanagerlane.joblog.RawItem
 import tanagerlane.limits.Rate
 import tanagerlane.membership.Member
 import tanagerlane.message.HostRole
@@ -205,7 +203,7 @@
             targets = ViewSource("targets") { Ok(targetOf(it.name, it.value?.toText().orEmpty())) },
             removals = ViewSource("removals") { Ok(HostRemoval(HostName(it.name), isDone = false)) },
             evacuations = ViewSource("evacuations") { Ok(DomainEvacuation(FailureDomain(it.name))) },
-            jobs = JobBodyFormat(items = { Ok(itemsOf(it.toText())) }, results = ::resultsOf, resultBytes = { 40 }),
+            jobs = PlainTextJobs.FORMAT,
             sharedParts = { header -> header.split(',').dropLast(1).map { PromptPart(it.substringBefore(':')) } },
             classify = ::classify,
             reportDrained = { true },
@@ -228,17 +226,6 @@
         )
     }
 
-    /** Returns one item for each line of [body]. */
-    private fun itemsOf(body: String): List<RawItem> =
-        body.lines().map { RawItem(RequestId(it), "/jobs/$it", emptyList(), Payload.of("body of $it"), tokens = 1) }
-
-    private fun resultsOf(
-        total: Int,
-        next: Int,
-        results: List<ListedResult>,
-    ): Payload =
-        Payload.of(results.joinToString("") { "${it.id} ${it.end} ${it.text.lines().size}\n" } + "$next of $total")
-
     private fun classify(
         method: String,
         path: String,
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/RawTarget.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/RawTarget.kt
@@ -2,6 +2,7 @@
 
 import java.io.InputStream
 import java.net.InetAddress
+import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
@@ -10,13 +11,20 @@
 /**
  * A target that sends answers byte for byte, and ends their connections as it is told.
  *
+ * @param readsBodies whether the body of a request is read before it is answered; otherwise it is read after that
  * @param answer returns the answer to a request
  */
 internal class RawTarget(
     val name: String,
+    private val readsBodies: Boolean = true,
     private val answer: (RawRequest) -> RawAnswer,
 ) : AutoCloseable {
-    private val server = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
+    private val server =
+        ServerSocket().also {
+            // Connections take over the size, which can't be lowered once they are open.
+            if (!readsBodies) it.receiveBufferSize = UNREAD_BUFFER_BYTES
+            it.bind(InetSocketAddress(InetAddress.getLoopbackAddress(), 0), BACKLOG)
+        }
     private val sockets = CopyOnWriteArrayList<Socket>()
 
     val port: Int get() = server.localPort
@@ -45,7 +53,7 @@
             val head = "HTTP/1.1 ${reply.status} Status\r\nAttempt-Id: ${request.id}\r\nServer-Stamp: $name\r\n"
             socket.getOutputStream().write((head + reply.rest).toByteArray())
             when (reply.end) {
-                ConnectionEnd.NONE -> continue
+                ConnectionEnd.NONE -> if (!readsBodies) readLate(socket.getInputStream(), request)
                 ConnectionEnd.CLOSE -> return socket.close()
                 ConnectionEnd.RESET -> return reset(socket)
             }
@@ -73,14 +81,26 @@
             head.lines().drop(1).filter { ':' in it }.associate {
                 it.substringBefore(':').lowercase() to it.substringAfter(':').trim()
             }
-        input.readNBytes(headers["content-length"]?.toInt() ?: 0)
-        return RawRequest(headers["attempt-id"].orEmpty(), headers["last-event-id"]?.toInt())
+        val bodyBytes = headers["content-length"]?.toInt() ?: 0
+        if (readsBodies) {
+            input.readNBytes(bodyBytes)
+        }
+        return RawRequest(headers["attempt-id"].orEmpty(), headers["last-event-id"]?.toInt(), bodyBytes)
+    }
+
+    private fun readLate(
+        input: InputStream,
+        request: RawRequest,
+    ) {
+        Thread.sleep(TIME_TO_READ_MILLISECONDS)
+        input.readNBytes(request.bodyBytes)
     }
 
     /** The request [id]; [resumeAfter] is the event after which its stream resumes, or null. */
     data class RawRequest(
         val id: String,
         val resumeAfter: Int?,
+        val bodyBytes: Int,
     )
 
     /**
@@ -103,6 +123,9 @@
 
     companion object {
         private const val BACKLOG = 50
+
+        /** Receive buffer of connections whose requests are not read, 8 KiB, so that writing them takes long. */
+        private const val UNREAD_BUFFER_BYTES = 8 shl 10
         private const val TIME_TO_READ_MILLISECONDS = 150L
 
         /** Returns an answer whose length is stated. */
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/ScriptedTargets.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/ScriptedTargets.kt
@@ -1,17 +1,27 @@
 package tanagerlane.direct
 
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withContext
 import tanagerlane.direct.RawTarget.RawAnswer
 import tanagerlane.direct.RawTarget.RawRequest
 import tanagerlane.model.Payload
 import tanagerlane.store.ObjectKey
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.time.Duration.Companion.milliseconds
 
-/** Two targets that answer the first, second and later requests with an id as told, whichever of them receives these. */
-internal class ScriptedTargets : AutoCloseable {
+/**
+ * Two targets that answer the first, second and later requests with an id as told, whichever of them receives these.
+ *
+ * @param readsBodies whether the targets read the bodies of requests
+ */
+internal class ScriptedTargets(
+    readsBodies: Boolean = true,
+) : AutoCloseable {
     private val scripts = ConcurrentHashMap<String, (number: Int, RawRequest) -> RawAnswer>()
     private val requests = ConcurrentHashMap<String, MutableList<RawRequest>>()
-    private val targets = List(2) { RawTarget("t${it + 1}", ::answer) }
+    private val targets = List(2) { RawTarget("t${it + 1}", readsBodies, ::answer) }
 
     /** Number of connections accepted by both targets. */
     val connectionCount: Int get() = targets.sumOf { it.connectionCount }
@@ -31,6 +41,21 @@
     suspend fun register(deployment: FakeDeployment): Unit =
         targets.forEach { deployment.store.put(ObjectKey("targets/${it.name}"), Payload.of("${it.port}"), null) }
 
+    /** Sends a request, again while the entry refuses it as overloaded before any target has received it. */
+    suspend fun call(
+        port: Int,
+        path: String,
+        id: String,
+        body: String = "",
+    ): RawCaller.ReceivedAnswer? {
+        repeat(MAXIMUM_SENDS) {
+            val answer = withContext(Dispatchers.IO) { RawCaller.send(port, path, id, body = body) }
+            if (answer?.status != REFUSED || requests(id).isNotEmpty()) return answer
+            delay(PAUSE)
+        }
+        error("refused $MAXIMUM_SENDS times: $path $id")
+    }
+
     override fun close(): Unit = targets.forEach { it.close() }
 
     private fun answer(request: RawRequest): RawAnswer {
@@ -40,6 +65,10 @@
     }
 
     companion object {
+        private const val REFUSED = 503
+        private const val MAXIMUM_SENDS = 20
+        private val PAUSE = 100.milliseconds
+
         /** Number of events of a complete stream. */
         const val EVENTS = 5
 
--- /dev/null
+++ b/tanagerlane-runtime/src/main/kotlin/tanagerlane/runtime/AnswerFraming.kt
@@ -0,0 +1,53 @@
+package tanagerlane.runtime
+
+import io.vertx.core.Future
+import io.vertx.core.http.HttpClientResponse
+import io.vertx.core.http.HttpMethod
+import java.io.IOException
+
+/** How the answers of HTTP/1.1 end. */
+public object AnswerFraming {
+    /**
+     * Send buffer of connections that carry requests, 64 KiB.
+     *
+     * Bytes in the buffer count as written, so a larger one hides that the receiver closed the connection without
+     * reading them.
+     */
+    public const val SEND_BUFFER_BYTES: Int = 64 shl 10
+
+    /** Statuses of answers without a body, whatever their headers state. */
+    private val STATUSES_WITHOUT_BODY = setOf(204, 304)
+
+    /** Whether [response] has a length or consists of chunks. */
+    public fun hasLength(response: HttpClientResponse): Boolean =
+        response.getHeader("content-length") != null ||
+            response.getHeader("transfer-encoding").orEmpty().contains("chunked", ignoreCase = true)
+
+    /** Whether the body of [response] ends with its connection. */
+    public fun endsWithConnection(response: HttpClientResponse): Boolean =
+        !hasLength(response) &&
+            response.statusCode() !in STATUSES_WITHOUT_BODY &&
+            response.request().method != HttpMethod.HEAD
+
+    /**
+     * Calls [onEnd] at the end of the body of [response], with what is wrong with it, or null.
+     *
+     * A connection that ends before the request was [written] has failed. The end of a body may be reported before
+     * the outcome of a write, which the end of the connection decides at the latest, and therefore waits for it.
+     */
+    internal fun onBodyEnd(
+        response: HttpClientResponse,
+        written: Future<Void>,
+        onEnd: (Throwable?) -> Unit,
+    ) {
+        response.endHandler {
+            if (endsWithConnection(response)) {
+                written.onComplete { write ->
+                    onEnd(write.cause()?.let { IOException("connection ended before the request was written", it) })
+                }
+            } else {
+                onEnd(null)
+            }
+        }
+    }
+}
--- a/tanagerlane-runtime/src/main/kotlin/tanagerlane/runtime/AnswerPieces.kt
+++ b/tanagerlane-runtime/src/main/kotlin/tanagerlane/runtime/AnswerPieces.kt
@@ -1,5 +1,6 @@
 package tanagerlane.runtime
 
+import io.vertx.core.Future
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpClientResponse
 import kotlinx.coroutines.channels.Channel
@@ -23,14 +24,19 @@
     private var heldBytes = 0
     private var paused: HttpClientResponse? = null
 
-    /** Takes the body of [response]; [onEnd] runs at its end and returns what is wrong with it, or null. */
+    /**
+     * Takes the body of [response], the answer to a request that is [written].
+     *
+     * [onEnd] runs at an end that may be that of the answer, and returns what is wrong with it, or null.
+     */
     public fun listen(
         response: HttpClientResponse,
-        onEnd: () -> Throwable?,
+        written: Future<Void>,
+        onEnd: () -> Throwable? = { null },
     ) {
         response.handler { add(response, it) }
         response.exceptionHandler { pieces.close(it) }
-        response.endHandler { pieces.close(onEnd()) }
+        AnswerFraming.onBodyEnd(response, written) { fault -> pieces.close(fault ?: onEnd()) }
     }
 
     /** Drops the rest of the body; receivers get [cause] after the pieces that have come. */
--- a/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/TargetClient.kt
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/TargetClient.kt
@@ -1,5 +1,6 @@
 package tanagerlane.sidecar
 
+import io.vertx.core.Future
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpClient
@@ -20,6 +21,7 @@
 import tanagerlane.model.RefusalReason
 import tanagerlane.model.RequestId
 import tanagerlane.model.RunState
+import tanagerlane.runtime.AnswerFraming
 import tanagerlane.runtime.AnswerPieces
 import tanagerlane.runtime.InterimAnswers
 import java.io.IOException
@@ -34,12 +36,16 @@
     vertx: Vertx,
     private val targetUrl: String,
 ) {
-    private val client = vertx.createHttpClient(PoolOptions().setHttp1MaxSize(MAXIMUM_CONNECTIONS))
+    private val client =
+        vertx.createHttpClient(
+            HttpClientOptions().setSendBufferSize(AnswerFraming.SEND_BUFFER_BYTES),
+            PoolOptions().setHttp1MaxSize(MAXIMUM_CONNECTIONS),
+        )
 
     /** Opens a connection for each call, so that no call uses a pooled one that the target is about to close. */
     private val unpooledClient =
         vertx.createHttpClient(
-            HttpClientOptions().setKeepAlive(false),
+            HttpClientOptions().setKeepAlive(false).setSendBufferSize(AnswerFraming.SEND_BUFFER_BYTES),
             PoolOptions().setHttp1MaxSize(MAXIMUM_CONNECTIONS),
         )
 
@@ -101,9 +107,9 @@
             // Set before the request is sent: the whole answer may arrive before this coroutine resumes.
             val head = request.response().map(::pausedResponse)
             InterimAnswers.bound(request) { reset(request) }
-            request.end(Buffer.buffer(call.body.toByteArray()))
+            val written = request.end(Buffer.buffer(call.body.toByteArray()))
             val response = head.coAwait()
-            forwardAnswer(response, sink)
+            forwardAnswer(response, written, sink)
         } catch (exception: Exception) {
             reset(request)
             throw exception
@@ -113,12 +119,13 @@
     /** Forwards the answer; throws [AnswerLimitException] if it exceeds a limit. */
     private suspend fun forwardAnswer(
         response: HttpClientResponse,
+        written: Future<Void>,
         sink: AnswerSink,
     ) {
         val limitChecker =
             AnswerLimitChecker(isStream = response.getHeader("content-type").orEmpty().startsWith(EVENT_STREAM))
         val pieces = AnswerPieces()
-        pieces.listen(response) { null }
+        pieces.listen(response, written)
         response.resume()
         sink.head(response.statusCode(), forwardedHeaders(response))
         while (true) {
@@ -126,16 +133,12 @@
             limitChecker.add(piece.bytes)
             sink.bytes(Payload.of(piece.bytes))
         }
-        if (isUnframed(response) && limitChecker.isInsideEvent) {
+        if (AnswerFraming.endsWithConnection(response) && limitChecker.isInsideEvent) {
             throw IOException("stream without a length ended inside an event")
         }
         sink.end()
     }
 
-    /** Whether the end of the body is that of the connection, which may also have been lost. */
-    private fun isUnframed(response: HttpClientResponse): Boolean =
-        response.getHeader("content-length") == null && response.getHeader("transfer-encoding") == null
-
     /** Pauses the body until its handlers are set; otherwise its first bytes could be lost. */
     private fun pausedResponse(response: HttpClientResponse): HttpClientResponse {
         response.pause()
--- a/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/engine/EngineClient.kt
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/engine/EngineClient.kt
@@ -5,6 +5,7 @@
 import com.github.michaelbull.result.Result
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpClientOptions
 import io.vertx.core.http.HttpClientRequest
 import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.PoolOptions
@@ -15,6 +16,7 @@
 import org.slf4j.LoggerFactory
 import tanagerlane.model.Payload
 import tanagerlane.model.RequestId
+import tanagerlane.runtime.AnswerFraming
 import tanagerlane.runtime.AnswerPieces
 import tanagerlane.runtime.InterimAnswers
 import tanagerlane.runtime.MonotonicClock
@@ -38,7 +40,11 @@
     private val maximumEventDuration: Duration = MAXIMUM_EVENT_DURATION,
     private val now: () -> Instant = MonotonicClock()::now,
 ) {
-    private val client = vertx.createHttpClient(PoolOptions().setHttp1MaxSize(MAXIMUM_CONNECTIONS))
+    private val client =
+        vertx.createHttpClient(
+            HttpClientOptions().setSendBufferSize(AnswerFraming.SEND_BUFFER_BYTES),
+            PoolOptions().setHttp1MaxSize(MAXIMUM_CONNECTIONS),
+        )
 
     /**
      * Sends [body], which requests a stream, and passes the data of each event to [onEvent].
@@ -98,10 +104,10 @@
         // Set before the request is sent: the whole answer may arrive before this coroutine resumes.
         val head = request.response().map { it.pause() }
         InterimAnswers.bound(request) { request.reset() }
-        request.end(Buffer.buffer(body.toByteArray()))
+        val written = request.end(Buffer.buffer(body.toByteArray()))
         val response = head.coAwait()
         val pieces = AnswerPieces()
-        pieces.listen(response) { null }
+        pieces.listen(response, written)
         response.resume()
         if (response.statusCode() !in SUCCESS) {
             return Err(EngineFailure.ErrorAnswer(response.statusCode(), Payload.of(readBody(pieces).bytes)))
