Answer 502 where the status of a target is none of a final answer

Callers got statuses that HTTP does not define: through sidecars 000, 42, 99, 101, 150, 199, 600, 999 and 1000 from targets and engines, and 600 and more from targets that are called directly. Items answered so counted as failed.

Both modes now take such an answer as lost: below 200 it is interim and no final answer follows, and HTTP treats a status over 599 as an error of the server. It is not passed on as the target's own 5xx, as a failure bears the signature of a target only with the status that this target gave, and not with its own number, which callers may read otherwise. Repeatable requests are tried elsewhere, others are answered 502; items run again instead of being counted as failed.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetClient.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetClient.kt
@@ -260,9 +260,7 @@
         JoinedHeads.secondStatusLine(response)?.let {
             return Err(CallFault.Lost("head contains the status line of another answer: $it"))
         }
-        if (response.statusCode() < FIRST_FINAL_STATUS) {
-            return Err(CallFault.Lost("final answer has an interim status: ${response.statusCode()}"))
-        }
+        AnswerFraming.statusFault(response)?.let { return Err(CallFault.Lost(it)) }
         return Ok(
             TargetAnswer(response.statusCode(), response.headers(), body, share, age) {
                 if (!isComplete) connection.close()
@@ -276,6 +274,7 @@
             !connection.isUsedUp &&
             response.getHeader(requestIdHeader) == id &&
             JoinedHeads.secondStatusLine(response) == null &&
+            AnswerFraming.statusFault(response) == null &&
             response.getHeader("connection")?.lowercase() != "close"
 
     private fun keepAliveTimeout(response: HttpClientResponse): Duration? =
@@ -288,9 +287,6 @@
 
     private companion object {
         const val MILLISECONDS_PER_SECOND = 1000
-
-        /** Answers with a lower status are interim: a final one follows, for which this client cannot wait. */
-        const val FIRST_FINAL_STATUS = 200
         val logger = LoggerFactory.getLogger(TargetExchange::class.java)
     }
 }
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/RawTarget.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/RawTarget.kt
@@ -106,13 +106,16 @@
     /**
      * An answer.
      *
+     * @property status status as the status line states it
      * @property rest what follows the id of the request in the head, and the body
      */
     data class RawAnswer(
-        val status: Int,
+        val status: String,
         val rest: String,
         val end: ConnectionEnd,
-    )
+    ) {
+        constructor(status: Int, rest: String, end: ConnectionEnd) : this("$status", rest, end)
+    }
 
     /** What happens to a connection after an answer. */
     enum class ConnectionEnd {
--- a/tanagerlane-runtime/src/main/kotlin/tanagerlane/runtime/AnswerFraming.kt
+++ b/tanagerlane-runtime/src/main/kotlin/tanagerlane/runtime/AnswerFraming.kt
@@ -5,7 +5,7 @@
 import io.vertx.core.http.HttpMethod
 import java.io.IOException
 
-/** How the answers of HTTP/1.1 end. */
+/** How the answers of HTTP/1.1 end, and which of them end a request. */
 public object AnswerFraming {
     /**
      * Send buffer of connections that carry requests, 64 KiB.
@@ -15,9 +15,20 @@
      */
     public const val SEND_BUFFER_BYTES: Int = 64 shl 10
 
+    /** Statuses of final answers; lower ones are interim, and a final answer follows. */
+    private val FINAL_STATUSES = 200..599
+
     /** Statuses of answers without a body, whatever their headers state. */
     private val STATUSES_WITHOUT_BODY = setOf(204, 304)
 
+    /**
+     * Returns why the status of [response] is none of a final answer, or null if it is one.
+     *
+     * HTTP treats a status over 599 as an error of the server. It is not passed on, as callers may read it otherwise.
+     */
+    public fun statusFault(response: HttpClientResponse): String? =
+        response.statusCode().takeIf { it !in FINAL_STATUSES }?.let { "status $it is not one of a final answer" }
+
     /** Whether [response] has a length or consists of chunks. */
     public fun hasLength(response: HttpClientResponse): Boolean =
         response.getHeader("content-length") != null ||
--- a/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/TargetClient.kt
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/TargetClient.kt
@@ -109,6 +109,7 @@
             InterimAnswers.bound(request) { reset(request) }
             val written = request.end(Buffer.buffer(call.body.toByteArray()))
             val response = head.coAwait()
+            AnswerFraming.statusFault(response)?.let { throw IOException(it) }
             forwardAnswer(response, written, sink)
         } catch (exception: Exception) {
             reset(request)
--- a/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/engine/EngineClient.kt
+++ b/tanagerlane-sidecar/src/main/kotlin/tanagerlane/sidecar/engine/EngineClient.kt
@@ -23,6 +23,7 @@
 import tanagerlane.sidecar.AnswerLimitChecker
 import tanagerlane.sidecar.AnswerLimitException
 import tanagerlane.streams.PartialEventTimer
+import java.io.IOException
 import java.net.ConnectException
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -106,6 +107,7 @@
         InterimAnswers.bound(request) { request.reset() }
         val written = request.end(Buffer.buffer(body.toByteArray()))
         val response = head.coAwait()
+        AnswerFraming.statusFault(response)?.let { throw IOException(it) }
         val pieces = AnswerPieces()
         pieces.listen(response, written)
         response.resume()
