Stop writing a long body when its request ends

A target that reads on after a request has ended (timed out, left as silent, cancelled) received the rest of a long body and could run the request, which had meanwhile gone elsewhere. The whole body was handed to the connection at once, and closing a connection writes what waits before it closes.

BodyWriter hands over 64 KiB after the other and stops when the connection is being closed, so that at most one piece follows. Bodies up to 64 KiB are written as before. The connection itself still stays open until the target has read that piece.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetClient.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/TargetClient.kt
@@ -229,7 +229,7 @@
     ) = outgoing
         .response()
         .map(::listen)
-        .also { outgoing.end(body).onComplete(written) }
+        .also { BodyWriter(outgoing, body, written) { connection.isClosed }.write() }
 
     /** Sets the handlers before the first byte of the body can arrive. */
     private fun listen(response: HttpClientResponse): HttpClientResponse {
