--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/EndsScene.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/EndsScene.kt
@@ -74,7 +74,7 @@
             }
             store.hangingPrefix = null
             targets.forEach { it.release() }
-            delay(TIME_FOR_LATE_EFFECTS)
+            delay(EndsTimes.TIME_FOR_LATE_EFFECTS)
         }
         return violations + lateEffects.mapNotNull { it() }
     }
@@ -103,7 +103,7 @@
                     ownStore = store,
                     ports = ports[it],
                     address = address,
-                    stopTime = STOP_TIME,
+                    stopTime = EndsTimes.STOP_TIME,
                     waiting = row.point == Point.PLACE,
                     furtherSettings = budget,
                 )
@@ -146,7 +146,7 @@
         if (row.point !=
             Point.READ
         ) {
-            delay(if (row.point == Point.UNREAD || row.point.isSilent) 1.seconds else SETTLING_TIME)
+            delay(if (row.point == Point.UNREAD || row.point.isSilent) 1.seconds else EndsTimes.SETTLING_TIME)
         }
         return others
     }
@@ -163,7 +163,7 @@
         val stops =
             if (row.stops) {
                 launch {
-                    if (row.isStopped) delay(TIME_UNTIL_STOP)
+                    if (row.isStopped) delay(EndsTimes.TIME_UNTIL_STOP)
                     entries.forEach { it.daemon.drainAndStop() }
                 }
             } else {
@@ -189,17 +189,17 @@
         stops: Job?,
     ) {
         when {
-            row.event == Event.STOP_RUNS_OUT && row.point == Point.BODY -> delay(REFUSAL_TIME)
+            row.event == Event.STOP_RUNS_OUT && row.point == Point.BODY -> delay(EndsTimes.REFUSAL_TIME)
             row.event == Event.STOP_RUNS_OUT -> stops?.join()
             row.event == Event.TARGET_SILENT -> delay(1.seconds)
             row.point == Point.READ -> Unit
-            else -> delay(TIME_UNTIL_RELEASE)
+            else -> delay(EndsTimes.TIME_UNTIL_RELEASE)
         }
         if (row.event == Event.STORE_DOWN) store.hangingPrefix = null
         if (row.point == Point.BODY) caller.send(text.takeLast(body.length - 1))
         if (row.point.isElsewhere) {
             targets.filterNot { id in it.requests }.forEach { it.release() }
-            delay(TIME_ELSEWHERE)
+            delay(EndsTimes.TIME_ELSEWHERE)
         }
         targets.forEach { it.release() }
     }
@@ -216,7 +216,7 @@
         val answer = caller.receive()
         checkEnd(id, answer)
         val time = begunAt.elapsedNow()
-        val limit = if (row.kind == Kind.RESULTS) RESULTS_TIME else ROUTE_TIME
+        val limit = if (row.kind == Kind.RESULTS) EndsTimes.RESULTS_TIME else EndsTimes.ROUTE_TIME
         if (time > limit) violations += "$id took $time"
         if (row.event == Event.STOP_OF_TWO && answer?.status == SERVICE_UNAVAILABLE) {
             checkEnd("$id-again", ask(entries[1].port, "$id-again", row.kind, body))
@@ -256,7 +256,7 @@
         while (!isGone) {
             PacedCaller(InetSocketAddress(address, entries.last().port)).use {
                 do {
-                    delay(KEPT_INTERVAL)
+                    delay(EndsTimes.KEPT_INTERVAL)
                     val id = "kept-$number-${requests++}"
                     val answer = if (it.send(kind.request(id, "body"))) it.receive() else null
                     if (answer != null) checkEnd(id, answer)
@@ -289,25 +289,5 @@
         const val SMALL_BUDGET_BYTES = 100_000
         const val LARGE_BODY_BYTES = 60_000
         const val UNREAD_EVENT_BYTES = 400_000
-        val KEPT_INTERVAL = 50.milliseconds
-        val STOP_TIME = 4.seconds
-
-        /** Time after the signal to stop at which requests are refused, and open ones still answered. */
-        val REFUSAL_TIME = 2.seconds
-        val SETTLING_TIME = 200.milliseconds
-        val TIME_UNTIL_RELEASE = 500.milliseconds
-
-        /** Time between a change of the configuration and the stop that follows it. */
-        val TIME_UNTIL_STOP = 200.milliseconds
-
-        /** Time for which a target stays silent while another one has free places. */
-        val TIME_ELSEWHERE = 800.milliseconds
-        val TIME_FOR_LATE_EFFECTS = 500.milliseconds
-
-        /** Time for which callers of results wait. */
-        val RESULTS_TIME: Duration = 1.5.seconds
-
-        /** Timeout of the routes and half a second. */
-        val ROUTE_TIME: Duration = 5.5.seconds
     }
 }
