Do not give up an answer that has begun where the object API does not confirm the targets

Since callers saw a stream end in its middle where its target broke off, or was left as silent, while the object API did not answer: the stream went on elsewhere only after a confirmation. Such an end is certain, while a target that has started again under its address with another version in that time is rare. The targets are still confirmed first, for 100 ms at most; without a reply an answer that has begun goes on by the view that there is. Streams that callers resume are refused as before.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineHandler.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/OnlineHandler.kt
@@ -44,18 +44,13 @@
         }
         while (true) {
             when (val step = attempt(request) ?: return) {
-                NextStep.TryElsewhere -> if (!resumption.mayGoElsewhere(request)) return refuseUnconfirmed(request)
+                NextStep.TryElsewhere -> resumption.confirmBefore(request)
                 NextStep.ForwardError -> return forwardError(request)
                 is NextStep.GiveUp -> return refuseOrAbort(request, CallerRefusal(step.reason, step.runState))
             }
         }
     }
 
-    private fun refuseUnconfirmed(request: OnlineRequest) {
-        val runState = if (request.possibleRuns == 0) RunState.NOT_RUN else RunState.UNKNOWN
-        refuseOrAbort(request, CallerRefusal(RefusalReason.STORE_UNAVAILABLE, runState))
-    }
-
     private fun forwardError(request: OnlineRequest) {
         val error = request.error
         if (error == null || request.isAnswerStarted) {
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/StreamResumption.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/StreamResumption.kt
@@ -19,6 +19,7 @@
 import tanagerlane.serving.RouteKind
 import tanagerlane.serving.ServingConfiguration
 import tanagerlane.store.ObjectVersion
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
@@ -134,11 +135,16 @@
     }
 
     /**
-     * Returns whether [request] may be sent to another target: whether none of its events were forwarded, or the targets
-     * are confirmed now, so that none has started again with another version unnoticed.
+     * Confirms the targets before the next attempt of [request], so that none has started again with another version
+     * unnoticed.
+     *
+     * An answer that has begun is not given up where the object API does not reply.
      */
-    suspend fun mayGoElsewhere(request: OnlineRequest): Boolean =
-        request.origin?.let(directory::isBoundToVersion) != true || confirmTargets()
+    suspend fun confirmBefore(request: OnlineRequest) {
+        if (request.origin?.let(directory::isBoundToVersion) == true) {
+            confirmTargets(CONTINUATION_TIMEOUT)
+        }
+    }
 
     /** Remembers streams that another process has forwarded. */
     fun received(report: OriginReport): Unit = directory.received(report.origins, now())
@@ -184,12 +190,15 @@
     }
 
     /**
-     * Returns whether the object API confirms the targets within [CONFIRMATION_TIMEOUT].
+     * Returns whether the object API confirms the targets within [timeout].
      *
      * Reads the changes from the version that [missingSince] returns on, too, if that is not null.
      */
-    private suspend fun confirmTargets(missingSince: () -> ObjectVersion? = { null }): Boolean =
-        withTimeoutOrNull(CONFIRMATION_TIMEOUT) {
+    private suspend fun confirmTargets(
+        timeout: Duration = CONFIRMATION_TIMEOUT,
+        missingSince: () -> ObjectVersion? = { null },
+    ): Boolean =
+        withTimeoutOrNull(timeout) {
             metrics.targetConfirmations.increment()
             val isConfirmed = targets().confirm()
             if (isConfirmed) missingSince()?.let { readSince(it) }
@@ -221,6 +230,9 @@
         /** Time for a read of the targets while a stream waits. */
         val CONFIRMATION_TIMEOUT = 300.milliseconds
 
+        /** The same within an answer, whose caller notices each pause. */
+        val CONTINUATION_TIMEOUT = 100.milliseconds
+
         /** Processes that are asked about each service at a time; they tell others in turn. */
         const val ASKED_ABOUT_VERSIONS = 3
         val MINIMUM_LEARNING_PAUSE = 250.milliseconds
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/RestartedTargetTest.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/RestartedTargetTest.kt
@@ -50,4 +50,20 @@
                 answer?.status shouldBe case.status
             }
         }
+
+        listOf(false, true).forEach { isCutOff ->
+            test("an answer that has begun goes on at another target, object API away: $isCutOff") {
+                val targets = listOf("t1", "t2").map { FakeTarget(vertx, it, version = "v1").start() }
+                val deployment = FakeDeployment(vertx, targets).also { it.prepare() }
+                val store = FlakyStore(deployment.store)
+                val entry = deployment.start("entry-1", "entry", ownStore = store)
+                eventually(10.seconds) { send(entry.port, "first")?.status shouldBe 200 }
+                targets.first().breaksAfter = 4
+                store.isUnavailable = isCutOff
+                val whole = (1..10).joinToString("") { "id: $it\ndata: event $it v1\n\n" }
+                val answers = List(6) { send(entry.port, "broken-$it") }
+                answers shouldBe List(6) { ReceivedAnswer(200, whole, isWhole = true) }
+                targets.flatMap { it.requests }.any { it.endsWith("after 4") } shouldBe true
+            }
+        }
     })
