Read again for those that wait where the caller of a shared read has left

Callers saw take-ups refused at an entry in step: where several waited for one read of the targets and the one that had begun it left, or its time ran out, the others got its failure without a read of their own. A read that was given up no longer counts as the one that they wait for.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/SharedReads.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/SharedReads.kt
@@ -20,18 +20,21 @@
     private val lock = Mutex()
     private var begun = 0L
     private var begunAt: Instant? = null
+
+    /** The last read that has ended; one whose caller has left meanwhile was given up. */
+    private var ended = 0L
     private var hasSucceeded = false
 
     /** Returns whether a read has succeeded that began later than this call. */
     suspend fun read(): Boolean {
         val needed = begun + 1
         return lock.withLock {
-            if (begun < needed) {
+            if (ended < needed) {
                 begunAt?.let { delay(it + pause - now()) }
-                begun++
+                val number = ++begun
                 begunAt = now()
-                hasSucceeded = false
                 hasSucceeded = read.invoke()
+                ended = number
             }
             hasSucceeded
         }
