--- a/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/CallerExchanges.kt
+++ b/tanagerlane-entry/src/main/kotlin/tanagerlane/entry/CallerExchanges.kt
@@ -5,9 +5,11 @@
 import io.vertx.kotlin.coroutines.dispatcher
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.job
 import kotlinx.coroutines.launch
@@ -38,22 +40,21 @@
     /** Number of requests that are not answered yet. */
     val openRequests: Int get() = open.get()
 
-    /** Answers the request of [context] with [handle]. */
+    /** Answers the request of [context] with [handle]; it is called on the event loop of the request. */
     fun launch(
         context: RoutingContext,
         handle: suspend (CallerExchange) -> Unit,
     ) {
         open.incrementAndGet()
-        scope.launch(vertx.orCreateContext.dispatcher()) {
+        // Handlers begin at once, since one that is cancelled before it begins would end nothing.
+        scope.launch(vertx.orCreateContext.dispatcher(), CoroutineStart.UNDISPATCHED) {
             if (draining()) {
                 context.response().putHeader("connection", "close")
             }
             val exchange = CallerExchange(context, record)
             try {
                 handle(exchange)
-            } catch (exception: CancellationException) {
-                val reason = if (isActive) RefusalReason.INTERNAL else RefusalReason.OUTCOME_UNKNOWN
-                withContext(NonCancellable) { end(context, exchange, reason, exception) }
+                ensureActive()
             } catch (exception: IOException) {
                 if (context.response().closed()) {
                     logger.debug("caller disconnected", exception)
@@ -62,7 +63,13 @@
                 }
             } catch (failure: Throwable) {
                 // Errors such as StackOverflowError are handled like exceptions.
-                end(context, exchange, RefusalReason.INTERNAL, failure)
+                val isStopped = failure is CancellationException && !isActive
+                end(
+                    context,
+                    exchange,
+                    if (isStopped) RefusalReason.OUTCOME_UNKNOWN else RefusalReason.INTERNAL,
+                    failure,
+                )
             } finally {
                 open.decrementAndGet()
             }
@@ -80,12 +87,23 @@
         reason: RefusalReason,
         failure: Throwable,
     ) {
+        val response = context.response()
+        if (response.ended()) {
+            return
+        }
         val request = "${exchange.method} ${exchange.uri}"
         logger.error("handler failed request={} workspace={}", request, exchange.workspace, failure)
-        if (context.response().headWritten()) {
-            context.response().reset()
-        } else {
-            exchange.refuse(CallerRefusal(reason, RunState.UNKNOWN, reason.explanation))
+        if (response.headWritten()) {
+            response.reset()
+            return
+        }
+        try {
+            withContext(NonCancellable) {
+                exchange.refuse(CallerRefusal(reason, RunState.UNKNOWN, reason.explanation))
+            }
+        } catch (exception: Exception) {
+            logger.error("refusal not recorded request={}", request, exception)
+            if (!response.ended()) response.setStatusCode(reason.httpStatus).end()
         }
     }
 
