Take only the transfer encoding chunked for chunks

An answer whose encoding has a name that contains that of chunks ends with its connection, and a part of it counted as whole.

--- a/tanagerlane-runtime/src/main/kotlin/tanagerlane/runtime/AnswerFraming.kt
+++ b/tanagerlane-runtime/src/main/kotlin/tanagerlane/runtime/AnswerFraming.kt
@@ -32,7 +32,12 @@
     /** Whether [response] has a length or consists of chunks. */
     public fun hasLength(response: HttpClientResponse): Boolean =
         response.getHeader("content-length") != null ||
-            response.getHeader("transfer-encoding").orEmpty().contains("chunked", ignoreCase = true)
+            response
+                .getHeader(
+                    "transfer-encoding",
+                ).orEmpty()
+                .split(',')
+                .any { it.trim().equals("chunked", ignoreCase = true) }
 
     /** Whether the body of [response] ends with its connection. */
     public fun endsWithConnection(response: HttpClientResponse): Boolean =
--- a/tanagerlane-runtime/src/test/kotlin/tanagerlane/runtime/AnswerPiecesTest.kt
+++ b/tanagerlane-runtime/src/test/kotlin/tanagerlane/runtime/AnswerPiecesTest.kt
@@ -79,6 +79,11 @@
                     isWhole = false,
                     headers = mapOf("transfer-encoding" to "identity"),
                 ),
+                Case(
+                    "in an encoding whose name contains that of chunks, whose request is not written",
+                    isWhole = false,
+                    headers = mapOf("transfer-encoding" to "x-chunked"),
+                ),
                 Case(
                     "with a length whose request is not written",
                     isWhole = true,
