--- a/tanagerlane-standin/src/main/kotlin/tanagerlane/standin/FreePorts.kt
+++ b/tanagerlane-standin/src/main/kotlin/tanagerlane/standin/FreePorts.kt
@@ -18,8 +18,8 @@
  */
 public object FreePorts {
     private const val FIRST_PORT = 20_000
-    private const val PORTS_OF_A_PROCESS = 600
-    private const val PROCESSES = 20
+    private const val PORTS_OF_A_PROCESS = 1_000
+    private const val PROCESSES = 12
     private val range = reserveRange()
     private val given: MutableSet<Int> = ConcurrentHashMap.newKeySet()
 
