--- a/review/stand-ins-2/standins/Worker.java
+++ b/review/stand-ins-2/standins/Worker.java
@@ -21,6 +21,7 @@
     private final Semaphore queue;
     private final Listener listener;
     private volatile boolean isRunning = true;
+    private boolean isRegistered;
 
     /**
      * What a worker is.
@@ -70,10 +71,13 @@
         record.write("worker " + settings.id + " crashed");
     }
 
+    /** Writes the registration, unless the store is down. */
     private void register() {
+        if (store.isDown) return;
         store.write("servers", settings.id, Json.of("service", settings.service, "address", listener.address(),
                 "zone", settings.zone, "version", settings.version, "slots", settings.slots, "state", "ready",
                 "cold_left_ms", 0, "call_seq", 0));
+        isRegistered = true;
         record.write("worker " + settings.id + " registered service=" + settings.service + " version=" + settings.version);
     }
 
@@ -84,7 +88,7 @@
             } catch (InterruptedException exception) {
                 return;
             }
-            if (isRunning && !store.names("servers").contains(settings.id)) register();
+            if (isRunning && (!isRegistered || !store.names("servers").contains(settings.id))) register();
         }
     }
 
