--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -10,4 +10,4 @@
     if [ -e "$source" ]; then sources+=("$source"); fi
   done
 done
-javac --release 17 -d target/review-2 "${sources[@]}"
+javac --release 17 -encoding UTF-8 -d target/review-2 "${sources[@]}"
