Log what became of a direct store call that was relayed too

The log did not tell whether a relayed create that conflicts does so with the direct attempt of the same call.

Change: one line when such a direct call ends. No logic changes.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/StoreRelay.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/StoreRelay.kt
@@ -196,6 +196,9 @@
             if (result != null && result.fold({ true }, { it !is StoreFailure.Unavailable })) {
                 return result
             }
+            if (result == null) {
+                logLateResult(verb, path, attempt)
+            }
         }
         val relayed = callThroughRelays(RelayedCall(++lastCallNumber, verb, path, value, expected?.number), convert)
         if (relayed != null && attempt?.isCompleted == false) {
@@ -253,6 +256,18 @@
         }
     }
 
+    /** Logs what became of a direct call that was also made through a relay. */
+    private fun logLateResult(
+        verb: RelayedVerb,
+        path: String,
+        attempt: Deferred<Result<*, StoreFailure>>,
+    ) {
+        scope.launch {
+            val outcome = attempt.await().fold({ "DONE" }, { it.toString() })
+            logger.info("late direct store call verb={} path={} outcome={}", verb, path, outcome)
+        }
+    }
+
     private fun recordDirectResult(result: Result<*, StoreFailure>) {
         val failure = result.fold({ null }, { it as? StoreFailure.Unavailable })
         if (failure == null) {
