Keep a conflict that was not read back in doubt

Cause: putSettled kept only lost answers in doubt. After a conflict whose read-back failed, and tries that found the object API down, it returned Unavailable, "certainly no effect". A failure that ends the tries, such as TooLarge, dropped an earlier doubt as well.

Change: a conflict is in doubt until the object has been read, and no failure drops a doubt. A conflict that was read back is in doubt no longer, so that callers still get 503 where nothing is stored.

--- a/tanagerlane-batch/src/main/kotlin/tanagerlane/jobs/SettledWrites.kt
+++ b/tanagerlane-batch/src/main/kotlin/tanagerlane/jobs/SettledWrites.kt
@@ -16,8 +16,11 @@
  * Writes [value] and reads back whatever is in doubt, up to [tries] times with [pause] between them.
  *
  * Only for values that no other process writes, since a value found in place counts as written by this call. Fails
- * with [StoreFailure.Conflict] when another value is in place, with [StoreFailure.OutcomeUnknown] when the doubt
- * remains, and with [StoreFailure.Unavailable] when the write certainly took no effect.
+ * with [StoreFailure.Conflict] when another value is in place and with [StoreFailure.OutcomeUnknown] when the doubt
+ * remains. With any other failure, such as [StoreFailure.Unavailable], no try has taken effect and none will.
+ *
+ * A lost answer stays in doubt even if the object is then found unchanged, because the call may still be carried out. A
+ * conflict is in doubt until the object is read, because the value in place may be this one.
  */
 public suspend fun ObjectStore.putSettled(
     key: ObjectKey,
@@ -26,7 +29,8 @@
     pause: Duration,
     tries: Int = Int.MAX_VALUE,
 ): Result<ObjectVersion, StoreFailure> {
-    var inDoubt: StoreFailure? = null
+    var lostAnswer: StoreFailure.OutcomeUnknown? = null
+    var unreadConflict: StoreFailure.OutcomeUnknown? = null
     var last: StoreFailure = StoreFailure.Unavailable("no try was made")
     repeat(tries) { number ->
         if (number > 0) {
@@ -35,19 +39,20 @@
         val failure = put(key, value, expected).fold({ return Ok(it) }, { it })
         last = failure
         when (failure) {
-            is StoreFailure.OutcomeUnknown -> inDoubt = failure
-            is StoreFailure.Conflict -> Unit
+            is StoreFailure.OutcomeUnknown -> lostAnswer = failure
+            is StoreFailure.Conflict -> unreadConflict = StoreFailure.OutcomeUnknown("conflict not read back: $failure")
             is StoreFailure.Unavailable -> return@repeat
-            else -> return Err(failure)
+            else -> return Err(lostAnswer ?: unreadConflict ?: failure)
         }
         val found = found(key, expected).fold({ it }, { return@repeat })
+        unreadConflict = null
         when {
             found.isUnchanged -> Unit
             found.value == value && found.version != null -> return Ok(found.version)
             else -> return Err(StoreFailure.Conflict(key, found.version))
         }
     }
-    return Err(inDoubt ?: last)
+    return Err(lostAnswer ?: unreadConflict ?: last)
 }
 
 /** What was read back after a write in doubt. */
