Claim only what both attempts at a relayed create show

Cause: a create without an answer after 120 ms is made again through a relay. The relayed answer counted for both attempts, so a create that took effect directly was reported as a conflict, or as too large. A relay without a reply turned a create that was answered directly into an unknown outcome.

Change: RepeatableCall decides from the results of both attempts. A success counts at once; a failure counts only once both have ended, and an unknown outcome of either stays unknown. The log says what the two were. The conversion of relayed replies moves to a file of its own.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/StoreRelay.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/StoreRelay.kt
@@ -4,18 +4,20 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.getError
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
 import tanagerlane.message.RelayedCall
 import tanagerlane.message.RelayedOutcome
 import tanagerlane.message.RelayedReply
 import tanagerlane.message.RelayedVerb
-import tanagerlane.message.ViewObject
 import tanagerlane.message.WireMessage
 import tanagerlane.model.HostName
 import tanagerlane.model.Payload
@@ -23,6 +25,7 @@
 import tanagerlane.store.ObjectKey
 import tanagerlane.store.ObjectStore
 import tanagerlane.store.ObjectVersion
+import tanagerlane.store.RepeatableCall
 import tanagerlane.store.StoreFailure
 import tanagerlane.store.StorePaths
 import tanagerlane.store.StoredObject
@@ -143,36 +146,10 @@
             }
         }
 
-    private fun storedOf(read: ViewObject) =
-        StoredObject(ObjectKey(read.name), ObjectVersion(read.version), read.value ?: Payload.EMPTY)
-
-    private fun objectOf(stored: StoredObject) = ViewObject(stored.key.path, stored.version.number, stored.value)
-
-    private fun doneReply(
-        call: RelayedCall,
-        version: ObjectVersion = ObjectVersion.NONE,
-        objects: List<ViewObject> = emptyList(),
-    ) = RelayedReply(call.call, RelayedOutcome.DONE, version.number, objects)
-
-    private fun failureReply(
-        call: RelayedCall,
-        failure: StoreFailure,
-    ): RelayedReply {
-        val outcome =
-            when (failure) {
-                is StoreFailure.NotFound -> RelayedOutcome.NOT_FOUND
-                is StoreFailure.Conflict -> RelayedOutcome.CONFLICT
-                is StoreFailure.OutcomeUnknown -> RelayedOutcome.UNKNOWN
-                is StoreFailure.TooLarge -> RelayedOutcome.TOO_LARGE
-                else -> RelayedOutcome.NOT_DONE
-            }
-        return RelayedReply(call.call, outcome, (failure as? StoreFailure.Conflict)?.current?.number ?: 0, emptyList())
-    }
-
     /**
      * Makes a call on the direct path, or through a relay if the object API does not serve this process.
      *
-     * A call that may be repeated also goes through a relay if the direct path has no answer within [DIRECT_TIMEOUT].
+     * A [RepeatableCall] also goes through a relay if the direct path has no answer within [DIRECT_TIMEOUT].
      *
      * @param direct makes the call on the direct path
      * @param convert converts the reply of a relay to the result of the call
@@ -185,27 +162,57 @@
         direct: suspend () -> Result<T, StoreFailure>,
         convert: (RelayedReply) -> Result<T, StoreFailure>,
     ): Result<T, StoreFailure> {
-        val attempt: Deferred<Result<T, StoreFailure>>?
+        val call = RelayedCall(++lastCallNumber, verb, path, value, expected?.number)
         if (paths.skipsDirectPath(reachable(), now())) {
             retryDirectPathIfDue(path)
-            attempt = null
-        } else {
-            attempt = scope.async { direct().also(::recordDirectResult) }
-            val mayRepeat = verb != RelayedVerb.PUT || expected == null
-            val result = if (mayRepeat) withTimeoutOrNull(DIRECT_TIMEOUT) { attempt.await() } else attempt.await()
-            if (result != null && result.fold({ true }, { it !is StoreFailure.Unavailable })) {
-                return result
+            return callThroughRelays(call, convert) ?: direct().also(::recordDirectResult)
+        }
+        val attempt = scope.async { direct().also(::recordDirectResult) }
+        val repeatable = repeatableOf(call)
+        val result =
+            if (repeatable == null) {
+                attempt.await()
+            } else {
+                withTimeoutOrNull(DIRECT_TIMEOUT) { attempt.await() }
+                    ?: return callOnBothPaths(call, repeatable, attempt, convert)
             }
-            if (result == null) {
-                logLateResult(verb, path, attempt)
+        return if (result.getError() is StoreFailure.Unavailable) callThroughRelays(call, convert) ?: result else result
+    }
+
+    /** Makes [call] through relays while [direct], the attempt on the direct path, is under way. */
+    private suspend fun <T> callOnBothPaths(
+        call: RelayedCall,
+        repeatable: RepeatableCall,
+        direct: Deferred<Result<T, StoreFailure>>,
+        convert: (RelayedReply) -> Result<T, StoreFailure>,
+    ): Result<T, StoreFailure> =
+        coroutineScope {
+            val relayed = async { callThroughRelays(call, convert) ?: Err(NO_RELAY_SERVED) }
+            val first =
+                select {
+                    direct.onAwait { it }
+                    relayed.onAwait { result ->
+                        if (result.getError() != NO_RELAY_SERVED) paths = paths.directAttemptFailed(now())
+                        result
+                    }
+                }
+            if (repeatable.isDecidedBy(first)) {
+                relayed.cancel()
+                first
+            } else {
+                val results = listOf(direct.await(), relayed.await())
+                val outcomes = results.map { it.getError() ?: RelayedOutcome.DONE }
+                logger.info("store call failed on a path verb={} path={} outcomes={}", call.verb, call.path, outcomes)
+                RepeatableCall.combined(results[0], results[1])
             }
         }
-        val relayed = callThroughRelays(RelayedCall(++lastCallNumber, verb, path, value, expected?.number), convert)
-        if (relayed != null && attempt?.isCompleted == false) {
-            paths = paths.directAttemptFailed(now())
+
+    private fun repeatableOf(call: RelayedCall): RepeatableCall? =
+        when {
+            call.verb != RelayedVerb.PUT -> RepeatableCall.READ
+            call.expected == null -> RepeatableCall.CREATE
+            else -> null
         }
-        return relayed ?: attempt?.await() ?: direct().also(::recordDirectResult)
-    }
 
     /** Makes [call] through one relay after another; returns null if none of them was served. */
     private suspend fun <T> callThroughRelays(
@@ -232,21 +239,6 @@
         return null
     }
 
-    private fun <T> resultOf(
-        reply: RelayedReply,
-        relay: HostName,
-        path: String,
-        convert: (RelayedReply) -> Result<T, StoreFailure>,
-    ): Result<T, StoreFailure> =
-        when (reply.outcome) {
-            RelayedOutcome.DONE -> convert(reply)
-            RelayedOutcome.NOT_FOUND -> Err(StoreFailure.NotFound(ObjectKey(path.removeSuffix("/"))))
-            RelayedOutcome.CONFLICT -> Err(StoreFailure.Conflict(ObjectKey(path), ObjectVersion(reply.version)))
-            RelayedOutcome.NOT_DONE -> Err(StoreFailure.Unavailable("call not made by relay $relay"))
-            RelayedOutcome.TOO_LARGE -> Err(StoreFailure.TooLarge(ObjectKey(path)))
-            RelayedOutcome.UNKNOWN -> Err(StoreFailure.OutcomeUnknown("outcome unknown to relay $relay"))
-        }
-
     /** Reads an object in parallel with a relayed call, to detect that the object API serves this process again. */
     private fun retryDirectPathIfDue(path: String) {
         if (paths.isDirectRetryDue(now())) {
@@ -256,18 +248,6 @@
         }
     }
 
-    /** Logs what became of a direct call that was also made through a relay. */
-    private fun logLateResult(
-        verb: RelayedVerb,
-        path: String,
-        attempt: Deferred<Result<*, StoreFailure>>,
-    ) {
-        scope.launch {
-            val outcome = attempt.await().fold({ "DONE" }, { it.toString() })
-            logger.info("late direct store call verb={} path={} outcome={}", verb, path, outcome)
-        }
-    }
-
     private fun recordDirectResult(result: Result<*, StoreFailure>) {
         val failure = result.fold({ null }, { it as? StoreFailure.Unavailable })
         if (failure == null) {
@@ -310,6 +290,9 @@
         /** Time after a relayed call within which its sender makes the next call of the same operation. */
         val NEXT_CALL_TIMEOUT = 250.milliseconds
 
+        /** Reason for a relayed call that failed because no relay was served. */
+        val NO_RELAY_SERVED = StoreFailure.Unavailable("no relay was served")
+
         /** Name of the object to read in a listed folder; it need not exist. */
         const val PROBE_NAME = "0"
         val logger = LoggerFactory.getLogger(StoreRelay::class.java)
