Keep calls about jobs in doubt while a header may be stored

Callers of an entry with sidecars could be told that a cancellation or a submission took no effect, and should be made again, although it may have.

Change: StoreUnavailable after a doubt is reported as Unsettled. What was read back stays certain: a cancellation that another write overtook is still refused as not made.

--- a/tanagerlane-batch/src/main/kotlin/tanagerlane/jobs/JobReading.kt
+++ b/tanagerlane-batch/src/main/kotlin/tanagerlane/jobs/JobReading.kt
@@ -45,3 +45,7 @@
 /** Returns the error that tells whether a write may have taken effect. */
 internal fun errorOf(failure: StoreFailure): JobError =
     if (failure is StoreFailure.OutcomeUnknown) JobError.Unsettled(failure) else JobError.StoreUnavailable(failure)
+
+/** Returns the error of a call whose earlier try failed with [earlier]: a doubt remains if this try is not answered. */
+internal fun JobError.after(earlier: JobError): JobError =
+    if (this is JobError.StoreUnavailable && earlier is JobError.Unsettled) earlier else this
--- a/tanagerlane-batch/src/main/kotlin/tanagerlane/jobs/JobStore.kt
+++ b/tanagerlane-batch/src/main/kotlin/tanagerlane/jobs/JobStore.kt
@@ -89,18 +89,19 @@
         now: Instant,
     ): Result<JobHeader, JobError> {
         val keys = keysOf(workspace, job).getOrElse { return Err(it) }
-        var last: StoreFailure = StoreFailure.Conflict(keys.headerKey, null)
+        var error = errorOf(StoreFailure.Conflict(keys.headerKey, null))
         repeat(CANCEL_TRIES) {
-            val current = header(keys).getOrElse { return Err(it) }
+            val current = header(keys).getOrElse { return Err(it.after(error)) }
             when (current.value.phase) {
                 JobPhase.CANCELLED -> return Ok(current.value)
                 JobPhase.FINISHED -> return Err(JobError.AlreadyEnded(JobPhase.FINISHED))
                 JobPhase.OPEN -> Unit
             }
             val cancelled = current.value.copy(phase = JobPhase.CANCELLED, endedAt = now)
-            last = write(keys.headerKey, cancelled, current.version).fold({ return Ok(cancelled) }, { it })
+            val failure = write(keys.headerKey, cancelled, current.version).fold({ return Ok(cancelled) }, { it })
+            error = errorOf(failure).after(error)
         }
-        return Err(errorOf(last))
+        return Err(error)
     }
 
     /** Returns the first page of the chunks after [chunk]. */
@@ -158,7 +159,8 @@
         if (failure !is StoreFailure.Conflict) {
             return Err(errorOf(failure))
         }
-        val accepted = header(keys).getOrElse { return Err(it) }.value
+        // Another submission has stored a header; whether it has the same items is not known without it.
+        val accepted = header(keys).getOrElse { return Err(it.after(JobError.Unsettled(failure))) }.value
         return joined(accepted, header.digest)
     }
 
