Recognize the own record of the first start after a lost answer

The first process of a new deployment could take itself for a later one: streams that callers resume in its first seconds were then refused.

After a create of deployments/first-start without an answer, the conflict of the next try counted as the record of another process. The record named only the host, so that one of an earlier instance could not be told apart.

Change: the record names the instance (host and incarnation). After a lost answer, and only then, a conflict is read back; so no call is added where answers arrive.

Evidence: MembershipTest, "when the answer to its record is lost", failed before. The case in which another process made the record guards the other side. 13 of 13 cases pass, and PlannedStopVersionsTest and UnrecordedStartVersionsTest (3 of 3 each).

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/Membership.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/Membership.kt
@@ -9,6 +9,7 @@
 import kotlinx.serialization.json.Json
 import org.slf4j.LoggerFactory
 import tanagerlane.concurrency.receiveWithin
+import tanagerlane.jobs.putSettled
 import tanagerlane.membership.Member
 import tanagerlane.message.ViewObject
 import tanagerlane.model.HostName
@@ -18,6 +19,7 @@
 import tanagerlane.store.ObjectVersion
 import tanagerlane.store.StoreFailure
 import tanagerlane.views.ObjectView
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
@@ -45,6 +47,9 @@
 
     /** Whether the object exists that records that a process of the deployment has started. */
     private var isStartRecorded = false
+
+    /** Whether this process may have created that object although it got no answer. */
+    private var isStartInDoubt = false
     private var registeredAt: Instant? = null
 
     /** Applies [updated], the registrations that are stored in the object API. */
@@ -75,7 +80,15 @@
 
     /** Creates the record of the first start; unlike registrations it stays when all processes stop as planned. */
     private suspend fun recordStart(member: Member) {
-        store.put(FIRST_START, Payload.of(member.host.text), expected = null).fold(
+        // Names the instance, because an earlier instance on this host may have made the record.
+        val value = Payload.of("${member.host} ${member.incarnation}")
+        val result =
+            if (isStartInDoubt) {
+                store.putSettled(FIRST_START, value, expected = null, Duration.ZERO, tries = 1)
+            } else {
+                store.put(FIRST_START, value, expected = null)
+            }
+        result.fold(
             success = {
                 logger.info("first start recorded host={} version={} new={}", member.host, it, hasFoundNone)
                 isStartRecorded = true
@@ -83,6 +96,7 @@
             },
             failure = {
                 isStartRecorded = it is StoreFailure.Conflict
+                isStartInDoubt = isStartInDoubt || it is StoreFailure.OutcomeUnknown
                 if (!isStartRecorded) logger.warn("first start not recorded host={} cause={}", member.host, it)
             },
         )
