Report a conflict over the parts of a job as a conflict

A caller that repeats a submission could get 503, "not run", for a job that is stored, until the entry learned of it.

Items that another entry has stored in parts of another size conflict. JobStorage.create reported that as "certainly no effect" and the record was not looked at.

Change: create fails with the conflict, and the handler reads the record as for a conflict over it: 202 where the job is stored, 503 where it is not, 502 where that is not known. A part whose answer was lost still means "not run", because the record has not been written.

--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobStorage.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobStorage.kt
@@ -62,9 +62,9 @@
     /**
      * Stores a job; it is accepted once its record is stored.
      *
-     * Fails with [StoreFailure.Conflict] if a job of the same name exists, with [StoreFailure.OutcomeUnknown] if the job
-     * may have been accepted, and with [StoreFailure.TooLarge] if the object API refuses parts of this size; [split]
-     * makes smaller ones from then on.
+     * Fails with [StoreFailure.Conflict] if a job of the same name exists or is being stored, with
+     * [StoreFailure.OutcomeUnknown] if the job may have been accepted, and with [StoreFailure.TooLarge] if the object
+     * API refuses parts of this size; [split] makes smaller ones from then on.
      */
     suspend fun create(
         record: JobRecord,
@@ -73,8 +73,8 @@
         parts.forEachIndexed { number, part ->
             store.putSettled(partKey(record.job, number), part, null, RETRY_DELAY, ATTEMPTS).onErr { failure ->
                 reduceSizeAfter(failure)
-                val isTooLarge = failure is StoreFailure.TooLarge
-                return Err(if (isTooLarge) failure else StoreFailure.Unavailable("part $number not stored: $failure"))
+                val tellsMore = failure is StoreFailure.TooLarge || failure is StoreFailure.Conflict
+                return Err(if (tellsMore) failure else StoreFailure.Unavailable("part $number not stored: $failure"))
             }
         }
         return store.putSettled(recordKey(record.job), encoded(record), null, RETRY_DELAY, ATTEMPTS).map {}
--- a/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/JobStorageTest.kt
+++ b/tanagerlane-direct/src/test/kotlin/tanagerlane/direct/JobStorageTest.kt
@@ -1,9 +1,12 @@
 package tanagerlane.direct
 
 import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.getError
 import com.github.michaelbull.result.getOrElse
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.should
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.beInstanceOf
 import tanagerlane.joblog.ItemEnd
 import tanagerlane.joblog.JobRecord
 import tanagerlane.joblog.ListedResult
@@ -13,6 +16,7 @@
 import tanagerlane.model.RequestId
 import tanagerlane.model.ServiceName
 import tanagerlane.standin.store.MemoryObjectStore
+import tanagerlane.store.StoreFailure
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
@@ -62,6 +66,16 @@
                 .objects
                 .map { it.key.path }
 
+        // Guards against a repeated submission that is refused as not run while an earlier one is being accepted.
+        test("a job whose items another process has stored in other parts is not refused for certain") {
+            val store = MemoryObjectStore()
+            storeJob(store, "taken")
+            val storage = JobStorage(store, partBytes = 50)
+            val parts = storage.split(items)
+            storage.create(record("taken", parts.size), parts).getError() should
+                beInstanceOf<StoreFailure.Conflict>()
+        }
+
         test("deleting a job removes all of its objects and none of another job") {
             val store = MemoryObjectStore()
             storeJob(store, "kept")
