Group the conversions of relayed replies in an object

Cause: as functions of the package they had names that say nothing outside of StoreRelay (storedOf, resultOf).

Change: they are members of RelayedReplies; two comments and a name are clearer. No logic changes.

--- a/tanagerlane-core/src/main/kotlin/tanagerlane/store/RepeatableCall.kt
+++ b/tanagerlane-core/src/main/kotlin/tanagerlane/store/RepeatableCall.kt
@@ -15,7 +15,7 @@
     /**
      * Whether [result] of one attempt is the result of the call, whatever becomes of the other attempt.
      *
-     * A create that fails proves nothing about the other attempt: a conflict may be with the object that this one made.
+     * A failed create proves nothing about the other attempt: a conflict may be with the object that the other one made.
      */
     public fun isDecidedBy(result: Result<*, StoreFailure>): Boolean =
         when (this) {
@@ -24,7 +24,7 @@
         }
 
     public companion object {
-        /** Returns the result of a call both attempts at which have ended, in any order, with [first] and [second]. */
+        /** Returns the result of a call whose two attempts have ended with [first] and [second], in any order. */
         public fun <T> combined(
             first: Result<T, StoreFailure>,
             second: Result<T, StoreFailure>,
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobStorage.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/JobStorage.kt
@@ -73,8 +73,8 @@
         parts.forEachIndexed { number, part ->
             store.putSettled(partKey(record.job, number), part, null, RETRY_DELAY, ATTEMPTS).onErr { failure ->
                 reduceSizeAfter(failure)
-                val tellsMore = failure is StoreFailure.TooLarge || failure is StoreFailure.Conflict
-                return Err(if (tellsMore) failure else StoreFailure.Unavailable("part $number not stored: $failure"))
+                val concernsJob = failure is StoreFailure.TooLarge || failure is StoreFailure.Conflict
+                return Err(if (concernsJob) failure else StoreFailure.Unavailable("part $number not stored: $failure"))
             }
         }
         return store.putSettled(recordKey(record.job), encoded(record), null, RETRY_DELAY, ATTEMPTS).map {}
--- a/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/StoreRelay.kt
+++ b/tanagerlane-direct/src/main/kotlin/tanagerlane/direct/StoreRelay.kt
@@ -81,7 +81,7 @@
 
     override suspend fun list(prefix: String): Result<Listing, StoreFailure> =
         callDirectOrRelayed(RelayedVerb.LIST, prefix, direct = { store.list(prefix) }) { reply ->
-            Ok(Listing(reply.objects.map(::storedOf), ObjectVersion(reply.version)))
+            Ok(Listing(reply.objects.map(RelayedReplies::storedOf), ObjectVersion(reply.version)))
         }
 
     override suspend fun put(
@@ -104,7 +104,7 @@
         call: RelayedCall,
     ) {
         if (isClosed) {
-            send(from, failureReply(call, StoreFailure.Unavailable("relay is stopping")))
+            send(from, RelayedReplies.failed(call, StoreFailure.Unavailable("relay is stopping")))
             return
         }
         callsForPeers++
@@ -127,22 +127,22 @@
         when (call.verb) {
             RelayedVerb.GET -> {
                 store.get(ObjectKey(call.path)).fold(
-                    { doneReply(call, objects = listOf(objectOf(it))) },
-                    { failureReply(call, it) },
+                    { RelayedReplies.done(call, objects = listOf(RelayedReplies.objectOf(it))) },
+                    { RelayedReplies.failed(call, it) },
                 )
             }
 
             RelayedVerb.LIST -> {
                 store.list(call.path).fold(
-                    { doneReply(call, it.at, it.objects.map(::objectOf)) },
-                    { failureReply(call, it) },
+                    { RelayedReplies.done(call, it.at, it.objects.map(RelayedReplies::objectOf)) },
+                    { RelayedReplies.failed(call, it) },
                 )
             }
 
             RelayedVerb.PUT -> {
                 store
                     .put(ObjectKey(call.path), call.value ?: Payload.EMPTY, call.expected?.let(::ObjectVersion))
-                    .fold({ doneReply(call, it) }, { failureReply(call, it) })
+                    .fold({ RelayedReplies.done(call, it) }, { RelayedReplies.failed(call, it) })
             }
         }
 
@@ -233,7 +233,7 @@
                 return Err(StoreFailure.OutcomeUnknown("no reply from $relay"))
             }
             if (reply != null && reply.outcome != RelayedOutcome.NOT_DONE) {
-                return resultOf(reply, relay, call.path, convert)
+                return RelayedReplies.resultOf(reply, relay, call.path, convert)
             }
         }
         return null
